--- /dev/null
+++ b/gorsefork/__init__.py
@@ -0,0 +1,1 @@
+"""gorsefork: a quota-keeping ingress and its decisions."""
--- a/sloeyard/__init__.py
+++ b/gorsefork/decisions/__init__.py
@@ -1,5 +1,5 @@
 """The decisions of a quota-keeping gateway for a shared API."""
 
-from sloeyard.rules import Gatekeeper
+from gorsefork.decisions.rules import Gatekeeper
 
 __all__ = ["Gatekeeper"]
--- a/sloeyard/interface.py
+++ b/gorsefork/decisions/interface.py
@@ -1,7 +1,7 @@
-"""What sloeyard is told and what it answers: settings, events and actions, in the terms of the field.
+"""What gorsefork is told and what it answers: settings, events and actions, in the terms of the field.
 
 All times are seconds (float) on one clock that only advances; servers, requests and customers are named by
-opaque strings. An operator makes one ``sloeyard.rules.Gatekeeper`` for each gateway process, gives it events
+opaque strings. An operator makes one ``rules.Gatekeeper`` for each gateway process, gives it events
 in their order of arrival and carries out the actions it returns, in order.
 """
 
--- a/sloeyard/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -1,6 +1,6 @@
 """The decisions of a gatekeeper: one instance, no I/O, no clock, no global randomness.
 
-Types: ``sloeyard/interface.py``. Ordinary path: "Web2K: Bringing QoS to Web Servers", 3.3; docs/design.md."""
+Types: ``interface.py``. Ordinary path: "Web2K: Bringing QoS to Web Servers", 3.3; docs/design.md."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from statistics import median_high
 from typing import Any
 
-from sloeyard import interface as i
-from sloeyard.state import Attempt, Backlog, Ledger, Line, Note, Server, Ticket, merge
+from gorsefork.decisions import interface as i
+from gorsefork.decisions.state import Attempt, Backlog, Ledger, Line, Note, Server, Ticket, merge
 
 PERIOD, PERIODS_AN_AIM = 0.25, 10  # s, the longest control period T (the paper's); shortest aim / T at least
 GAIN, INTEGRAL_TIME = 1.0, 1.0  # K and Ti (s) of the PI law: an error is made good within about Ti
--- a/sloeyard/state.py
+++ b/gorsefork/decisions/state.py
@@ -10,10 +10,10 @@
 from struct import Struct
 from typing import TYPE_CHECKING, NamedTuple
 
-from sloeyard import interface as i
+from gorsefork.decisions import interface as i
 
 if TYPE_CHECKING:
-    from sloeyard.rules import Account, Lane
+    from gorsefork.decisions.rules import Account, Lane
 
 
 NOTE = Struct("<c8sBfI")
--- a/sloeyard/simhost.py
+++ b/gorsefork/simhost.py
@@ -12,8 +12,8 @@
 from itertools import islice
 from typing import Any, TextIO, cast
 
-from sloeyard import interface as i
-from sloeyard.rules import Gatekeeper
+from gorsefork.decisions import interface as i
+from gorsefork.decisions.rules import Gatekeeper
 
 NS = 1_000_000_000
 MAX_TIMER = 71 * 60 * NS
@@ -375,7 +375,7 @@
             if host.at is not None:
                 sink.write(f"ON_BEHALF who={host.at}\nDIE msg={error}\nOK\n")
                 sink.flush()
-            errors.write(f"sloeyard: {error}\n")
+            errors.write(f"gorsefork: {error}\n")
             return 1
         sink.flush()
         lines = []
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from sloeyard import Gatekeeper
-from sloeyard import interface as i
+from gorsefork.decisions import Gatekeeper
+from gorsefork.decisions import interface as i
 
 SAFE = i.RequestClass("look", aim=1.0, deadline=3.0, worth=1.0)
 ONCE = i.RequestClass("pay", aim=1.0, deadline=3.0, worth=5.0, effect="once")
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -11,9 +11,9 @@
 import pytest
 from conftest import SAFE, Driver, settings
 
-from sloeyard import Gatekeeper
-from sloeyard import interface as i
-from sloeyard.state import Note
+from gorsefork.decisions import Gatekeeper
+from gorsefork.decisions import interface as i
+from gorsefork.decisions.state import Note
 
 Drive = Callable[..., Driver]
 SMALL = i.Plan("small", rate=1.0, burst=4.0, over_cost=0.8)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,7 +7,7 @@
 import pytest
 from conftest import Driver, settings
 
-from sloeyard import interface as i
+from gorsefork.decisions import interface as i
 
 PLANS = [
     i.Plan("open"),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 import pytest
 from conftest import RATED, SAFE, Driver, settings
 
-from sloeyard import Gatekeeper
-from sloeyard import interface as i
+from gorsefork.decisions import Gatekeeper
+from gorsefork.decisions import interface as i
 
 Drive = Callable[..., Driver]
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from sloeyard import interface as i
-from sloeyard.simhost import Fields, Host, WireError, read_row, serve, write_action
+from gorsefork.decisions import interface as i
+from gorsefork.simhost import Fields, Host, WireError, read_row, serve, write_action
 
 SETTINGS = {
     "balancers": 1,
@@ -129,7 +129,7 @@
 def test_an_empty_batch_over_the_pipe() -> None:
     text = "ROUND now=1\nGO\n"
     done = subprocess.run(
-        [sys.executable, "-m", "sloeyard.simhost"], input=text, capture_output=True, text=True, check=True
+        [sys.executable, "-m", "gorsefork.simhost"], input=text, capture_output=True, text=True, check=True
     )
     assert done.stdout == "OK\n"
 
