Serve the platform's protocol on real sockets around the decision module

Core (memory) knows no wire: calls, delegations, registry, one timer heap, the module's actor. Wire: acceptor, pool of connections to each tour box, discovery watch, counter client on one pipelined connection, datagrams. Life: configuration, start, SIGTERM drain.

The module is given Unix time by a fixed offset, since counts are named by spans of its clock and two machines' monotonic clocks share no origin.

--- /dev/null
+++ b/gorsefork/life/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: the configuration, the parts put together, and the drain."""
--- /dev/null
+++ b/gorsefork/life/config.py
@@ -0,0 +1,62 @@
+"""The platform's configuration: ``PROXY_CONFIG`` names a JSON file; other variables stand in for keys."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from gorsefork.decisions import interface as i
+from gorsefork.settings import to_settings
+
+
+class BadConfig(Exception):
+    """A configuration that cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: str
+    discovery: str
+    seed: int
+    settings: i.Settings
+    sites: tuple[str, ...]
+    kinds: tuple[str, ...]
+    known: Mapping[str, Any]
+    counter: str = ""
+    peer_listen: str = ""
+    peers: tuple[str, ...] = ()
+    peers_all: str = ""
+    sockets: int = 1024
+
+
+def read_config(env: Mapping[str, str]) -> Config:
+    raw: dict[str, Any] = {}
+    if path := env.get("PROXY_CONFIG"):
+        try:
+            with open(path, encoding="utf-8") as file:
+                raw = json.load(file)
+        except (OSError, ValueError) as error:
+            raise BadConfig(f"PROXY_CONFIG: {error}") from None
+    for key in ("name", "listen", "discovery"):
+        raw.setdefault(key, env.get(f"PROXY_{key.upper()}", ""))
+    for key in ("listen", "discovery", "settings"):
+        if not raw.get(key):
+            raise BadConfig(f"{key} is missing")
+    try:
+        settings = to_settings(raw["settings"])
+        i.check(settings)
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
+        raise BadConfig(f"settings: {type(error).__name__}: {error}") from None
+    given = raw["settings"]
+    try:
+        return Config(
+            raw["name"], raw["listen"], raw["discovery"], int(str(raw.get("seed") or "0"), 16), settings,
+            tuple(given.get("failureDomains", ())), tuple(given.get("machineTypes", ())),
+            raw.get("known") or {"seq": 0, "whole": True, "hosts": []}, raw.get("counter") or "",
+            raw.get("peer_listen") or "", tuple(raw.get("peers") or ()), raw.get("peers_all") or "",
+            int(raw.get("limits", {}).get("sockets", 1024)))
+    except (TypeError, ValueError, AttributeError) as error:
+        raise BadConfig(f"{type(error).__name__}: {error}") from None
--- /dev/null
+++ b/gorsefork/memory/call.py
@@ -0,0 +1,93 @@
+"""A call: one try of a client, which gets exactly one final answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from gorsefork.memory.delegation import Delegation
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """The body that a tour box made for this call, unchanged."""
+
+    body: bytes
+    media: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """An overload reply: declined, trying again is harmless. ``retry_after`` in seconds, 0: no advice."""
+
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Nothing is promised about whether it took effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """The front's own answer: the client may not have this (any more)."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+Answer = Served | Overload | Failed | Denied
+
+
+class Permit(Protocol):
+    """What a front asks of a call again just before a delegation's first byte."""
+
+    async def renew(self, delegation: Delegation) -> Denied | None:
+        """None if it may go; else the answer that the call gets instead."""
+        ...
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """``id`` is this program's own: a client may repeat a trace id, an id of ours never comes twice."""
+
+    id: str
+    method: str
+    target: str
+    body: bytes
+    trace: str
+    key: str
+    cls: int
+    plan: int
+    customer: str
+    units: float
+    spread: int
+    first: int
+    came_at: int
+    ends_at: int
+    reply: Callable[[Answer], None]
+    retry: bool = False
+    permit: Permit | None = None
+    over: bool = False
+    delegations: list[Delegation] = field(default_factory=list)
+
+    def finish(self, answer: Answer) -> bool:
+        """The one way to the final answer; the first wins and all later ones are dropped."""
+        if self.over:
+            return False
+        self.over = True
+        self.reply(answer)
+        return True
+
+    def abandon(self) -> bool:
+        """The client has gone: nobody is left to answer."""
+        was_open, self.over = not self.over, True
+        return was_open
+
+    def open_delegations(self) -> int:
+        return sum(not d.ended for d in self.delegations)
+
+    def may_have_run(self) -> bool:
+        return any(d.written if not d.ended else d.may_have_run for d in self.delegations)
--- /dev/null
+++ b/gorsefork/memory/delegation.py
@@ -0,0 +1,42 @@
+"""A delegation: one attempt of a call at one tour box."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gorsefork.decisions.interface import Status
+from gorsefork.memory.call import Call
+
+NEVER_RAN: frozenset[Status] = frozenset(("full", "connect_failed", "moot"))
+
+
+@dataclass(slots=True, eq=False)
+class Delegation:
+    """``written``: its last byte has gone out, so that from here on it may have run."""
+
+    call: Call
+    number: int
+    host: str
+    sent_at: int
+    ends_at: int
+    written: bool = False
+    ended: bool = False
+    may_have_run: bool = False
+    called_off: bool = False
+    stop: Callable[[], None] | None = None  # set by whoever carries it out
+
+    def call_off(self) -> None:
+        self.called_off = True
+        if self.stop is not None:
+            self.stop()
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a delegation ended, as its connection saw it."""
+
+    status: Status
+    body: bytes = b""
+    media: str = ""
+    billed: float = 0.0
--- a/gorsefork/settings.py
+++ b/gorsefork/settings.py
@@ -1,4 +1,4 @@
-"""The settings object that an instance is given, in the terms of the decision module. Both hosts read it here."""
+"""The settings object that an instance is given, in the module's terms. Both hosts read it here."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/gorsefork/wire/acceptor.py
@@ -0,0 +1,290 @@
+"""The acceptor: clients' connections, one exchange at a time on each, whatever the front speaks."""
+
+from __future__ import annotations
+
+import socket
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+import trio
+
+from gorsefork.memory.call import Answer, Call, Denied, Failed, Overload, Served
+from gorsefork.memory.clock import Clock
+from gorsefork.wire.stream import Stream, address
+
+MOST_BODY = 65536
+MOST_HEAD = 16384
+BACKLOG = 1024
+LINGER = 1.0  # s that a client has to read its last answer and close
+FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
+
+Headers = Iterable[tuple[str, str]]
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request on one connection. ``reply`` is its one answer, ``left`` rings if the client goes first."""
+
+    method: str
+    target: str
+    headers: dict[bytes, bytes]
+    came_at: int
+    reply: Callable[[Answer], None]
+    body: bytearray = field(default_factory=bytearray)
+    call: Call | None = None
+    left: Callable[[], None] = lambda: None
+    answered: bool = False
+
+    def text(self, name: bytes) -> str:
+        return self.headers.get(name, b"").decode("latin-1")
+
+    def deny(self, status: int, *headers: tuple[str, str]) -> None:
+        self.reply(Denied(status, headers))
+
+
+class Front(Protocol):
+    """What the acceptor asks of a front."""
+
+    whole_seconds: bool  # whether ``Retry-After`` must be a whole number
+
+    def begin(self, exchange: Exchange) -> None:
+        """Take a whole request; its ``reply`` comes now or later, exactly once."""
+        ...
+
+
+class ClientConnection:
+    """Reads in its own task. Answers are written at once from wherever they come, with one gathered write."""
+
+    def __init__(self, stream: Stream, acceptor: Acceptor) -> None:
+        self.stream, self.acceptor = stream, acceptor
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.exchange: Exchange | None = None
+        self.unsent: list[memoryview] = []
+        self.scope = trio.CancelScope()
+        self.last = False  # nothing more is read from this client
+
+    async def run(self) -> None:
+        with self.scope:
+            try:
+                while data := await self.stream.receive():
+                    if self.take(data):
+                        break
+            except (OSError, trio.ClosedResourceError):
+                pass  # the client's own affair, and the end of this connection only
+        self.finish()
+
+    def take(self, data: bytes) -> bool:
+        """Feed what came; whether this client sends too much ahead of its answer."""
+        if self.last:
+            return False
+        self.http.receive_data(data)
+        self.advance()
+        return self.exchange is not None and len(self.http.trailing_data[0]) > MOST_BODY + MOST_HEAD
+
+    def finish(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        self.stream.close()
+        self.acceptor.closed(self)
+        if exchange is not None and not exchange.answered:
+            exchange.answered = True
+            exchange.left()
+
+    def advance(self) -> None:
+        """Act on what has been read so far, up to one whole request."""
+        while not self.last:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                self.reject(error.error_status_hint)
+                return
+            if event is h11.NEED_DATA:
+                if self.http.they_are_waiting_for_100_continue:
+                    self.write(h11.InformationalResponse(status_code=100, headers=[]))
+                return
+            if isinstance(event, h11.Request):
+                self.acceptor.idle.pop(self, None)
+                headers = {bytes(name): bytes(value) for name, value in event.headers}
+                self.exchange = exchange = Exchange(
+                    event.method.decode("ascii"), event.target.decode("latin-1"), headers,
+                    self.acceptor.clock.now, lambda answer: None)
+                exchange.reply = lambda answer, exchange=exchange: self.reply(exchange, answer)  # type: ignore[misc]
+            elif isinstance(event, h11.Data) and self.exchange is not None:
+                self.exchange.body += event.data
+                if len(self.exchange.body) > MOST_BODY:
+                    self.reject(413)
+                    return
+            elif isinstance(event, h11.EndOfMessage) and self.exchange is not None:
+                self.exchange.came_at = self.acceptor.clock.now  # its time counts from its last byte
+                self.acceptor.front.begin(self.exchange)
+            else:  # paused behind the request in hand, or the client has closed
+                return
+
+    def reject(self, status: int) -> None:
+        """A request that cannot be read or is too large: a plain answer, and nothing more is read."""
+        exchange = self.exchange or Exchange("", "", {}, 0, lambda answer: None)
+        self.exchange = exchange
+        self.reply(exchange, Denied(status), last=True)
+
+    def reply(self, exchange: Exchange, answer: Answer, last: bool = False) -> None:
+        """Exactly one answer: the first."""
+        if exchange.answered:
+            return
+        exchange.answered = True
+        last = last or self.acceptor.closing
+        status, headers, body = to_http(answer, self.acceptor.front.whole_seconds)
+        headers.append(("Content-Length", str(len(body))))
+        if last:
+            headers.append(("Connection", "close"))
+        head = exchange.method == "HEAD"
+        self.write(h11.Response(status_code=status, headers=headers),
+                   *([h11.Data(body)] if body and not head else []), h11.EndOfMessage())
+        self.exchange = None
+        if self.stream.closed:
+            return
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not last:
+            self.http.start_next_cycle()
+            self.acceptor.idle[self] = None
+            if self.http.trailing_data[0]:
+                self.advance()
+        else:
+            self.last = True
+            if not self.unsent:
+                self.linger()
+
+    def write(self, *events: h11.Event) -> None:
+        parts = [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
+        if self.stream.closed:
+            return
+        if self.unsent:
+            self.unsent += map(memoryview, parts)
+            return
+        try:
+            self.unsent = self.stream.write_now(parts)
+        except OSError:
+            self.stream.close()  # the reader sees it and ends
+            return
+        if self.unsent:
+            self.acceptor.start(self.flush)
+
+    async def flush(self) -> None:
+        """The rest of an answer, for a client that reads slowly."""
+        with trio.CancelScope(shield=False):
+            try:
+                while self.unsent:
+                    parts, self.unsent = self.unsent, []
+                    await self.stream.send([bytes(part) for part in parts])
+            except (OSError, trio.ClosedResourceError):
+                self.stream.close()
+        if self.last:
+            self.linger()
+
+    def linger(self) -> None:
+        """Guards against a reset that would overtake the answer: the client is to close first."""
+        self.stream.end_writing()
+        self.scope.deadline = min(self.scope.deadline, trio.current_time() + LINGER)
+
+    def close_if_idle(self) -> None:
+        """What has arrived unread is read first: it would be a call that this ingress has taken."""
+        if self.exchange is not None or self.last or self.stream.closed:
+            return
+        try:
+            data = self.stream.receive_now()
+        except OSError:
+            data = b""
+        if data:
+            self.take(data)
+        elif data == b"" or not self.http.trailing_data[0]:
+            self.last = True
+            self.linger()
+
+
+def to_http(answer: Answer, whole_seconds: bool) -> tuple[int, list[tuple[str, str]], bytes]:
+    if isinstance(answer, Served):
+        return 200, [("Content-Type", answer.media)] if answer.media else [], answer.body
+    if isinstance(answer, Overload):
+        if answer.retry_after <= 0:
+            return 503, [], b""
+        advice = str(-int(-answer.retry_after // 1)) if whole_seconds else f"{answer.retry_after:.3f}"
+        return 503, [("Retry-After", advice)], b""
+    if isinstance(answer, Failed):
+        return 502, [], b""
+    return answer.status, list(answer.headers), b""
+
+
+class Acceptor:
+    """Listens for one front. At the bound on connections the one idle for longest gives way."""
+
+    def __init__(self, listen: str, front: Front, clock: Clock, most: int) -> None:
+        self.front, self.clock, self.most = front, clock, most
+        self.connections: set[ClientConnection] = set()
+        self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
+        self.closing = False
+        self.nursery: trio.Nursery | None = None
+        host, port = address(listen)
+        self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind((host, port))
+        self.sock.listen(BACKLOG)
+
+    @property
+    def port(self) -> int:
+        return int(self.sock.getsockname()[1])
+
+    def start(self, task: Callable[[], object]) -> None:
+        if self.nursery is not None:
+            self.nursery.start_soon(task)  # type: ignore[arg-type]
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as self.nursery:
+            with trio.CancelScope() as self.listening:
+                while True:
+                    await trio.lowlevel.wait_readable(self.sock)
+                    if not self.accept_ready():
+                        await trio.sleep(0.02)
+            await trio.sleep_forever()
+
+    def accept_ready(self) -> bool:
+        """Take in all that waits; False if there is no room for more just now."""
+        while True:
+            if len(self.connections) >= self.most and not self.evict():
+                return False
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return True
+            except OSError:
+                return False  # aborted on its way, or no descriptor is left: the backlog keeps the rest
+            connection = ClientConnection(Stream(sock), self)
+            self.connections.add(connection)
+            self.idle[connection] = None
+            if self.closing:
+                connection.scope.deadline = trio.current_time() + FIRST_BYTES
+            self.start(connection.run)
+
+    def evict(self) -> bool:
+        for connection in list(self.idle)[:8]:
+            connection.close_if_idle()
+            if connection.last:
+                connection.stream.close()
+                self.closed(connection)
+                return True
+        return False
+
+    def closed(self, connection: ClientConnection) -> None:
+        self.connections.discard(connection)
+        self.idle.pop(connection, None)
+
+    def close_idle(self) -> None:
+        for connection in list(self.idle):
+            connection.close_if_idle()
+
+    def stop_listening(self) -> None:
+        """The backlog first: a request unread in it counts as taken."""
+        self.accept_ready()
+        self.listening.cancel()
+        trio.lowlevel.notify_closing(self.sock)
+        self.sock.close()
--- /dev/null
+++ b/gorsefork/wire/boxes.py
@@ -0,0 +1,234 @@
+"""Delegations on the wire: an actor for each tour box, with its pool of idle connections."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import h11
+import trio
+
+from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.memory.delegation import Delegation, Ending
+from gorsefork.memory.mailbox import Mailbox
+from gorsefork.memory.registry import Host, Registry
+from gorsefork.wire.stream import Stream, connect
+
+MOST_BODY = 65536
+MOST_WAITING = 512  # orders that one box's actor may have unread
+RETIRE_SHARE = 0.75  # of the keep-alive time that a connection may stand idle here
+
+
+class Link:
+    """One connection to a tour box; it carries one delegation at a time."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream, self.http = stream, h11.Connection(h11.CLIENT)
+        self.clean, self.idle_since = True, 0
+
+    async def ask(self, delegation: Delegation, authority: str, left_ms: int) -> Ending:
+        """A break before the last byte is written never ran; after it, it may have."""
+        self.clean = False
+        call = delegation.call
+        headers = [("Host", authority), ("X-Trace-Id", call.trace), ("X-Expires-In-Ms", str(left_ms))]
+        if call.key:
+            headers.append(("Idempotency-Key", call.key))
+        if call.method != "GET" or call.body:
+            headers.append(("Content-Length", str(len(call.body))))
+        request = h11.Request(method=call.method, target=call.target, headers=headers)
+        body = [h11.Data(call.body)] if call.body else []
+        parts = [part for event in (request, *body, h11.EndOfMessage())
+                 for part in self.http.send_with_data_passthrough(event) or ()]
+        try:
+            await self.stream.send(parts)
+        except OSError:
+            return Ending("connect_failed")
+        delegation.written = True
+        try:
+            return await self.answer()
+        except (OSError, h11.RemoteProtocolError):
+            return Ending("reset")
+
+    async def answer(self) -> Ending:
+        head, body = None, bytearray()
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                self.http.receive_data(await self.stream.receive())
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MOST_BODY:
+                    return Ending("error")
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                self.clean = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+                if self.clean:
+                    self.http.start_next_cycle()
+                    self.clean = not self.http.trailing_data[0]
+                return ending(head, bytes(body))
+            elif not isinstance(event, h11.InformationalResponse):
+                return Ending("reset")
+
+
+def ending(head: h11.Response, body: bytes) -> Ending:
+    """What an answer means. Only ``X-Never-Ran`` proves that it never ran: a bare 503 proves nothing."""
+    headers = {bytes(name): bytes(value) for name, value in head.headers}
+    if head.status_code == 200:
+        return Ending("ok", body, headers.get(b"content-type", b"").decode("latin-1"),
+                      settled(headers.get(b"x-settled", b"")))
+    if head.status_code in (503, 504) and headers.get(b"x-never-ran") == b"1":
+        return Ending("full")
+    return Ending("error")
+
+
+def settled(value: bytes) -> float:
+    """The true units; 0 where there are none, or what came is no number."""
+    try:
+        units = float(value)
+    except ValueError:
+        return 0.0
+    return units if 0.0 < units < 1e9 else 0.0
+
+
+class TourBox:
+    """Actor: hands each delegation a connection that is known to be good, and keeps those left over."""
+
+    def __init__(self, host: Host, fleet: Fleet) -> None:
+        self.host, self.fleet = host, fleet
+        self.mailbox: Mailbox[Delegation | None] = Mailbox(MOST_WAITING)  # None: close what is idle
+        self.idle: deque[Link] = deque()
+        self.retired = False
+
+    async def run(self) -> None:
+        clock = self.fleet.clock
+        async with trio.open_nursery() as nursery:
+            while not self.retired:
+                due = self.idle[0].idle_since + self.fleet.idle_for if self.idle else None
+                await self.mailbox.wait(float("inf") if due is None else clock.trio_deadline(due))
+                for order in self.mailbox.drain():
+                    if order is None:
+                        self.close_idle()
+                    else:
+                        nursery.start_soon(self.carry, order)
+                while self.idle and self.idle[0].idle_since + self.fleet.idle_for <= clock.now:
+                    self.drop(self.idle.popleft())
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        while self.idle:
+            self.drop(self.idle.popleft())
+
+    def drop(self, link: Link) -> None:
+        link.stream.close()
+        self.fleet.links -= 1
+
+    async def carry(self, delegation: Delegation) -> None:
+        """The end of its time, or a call-off, closes its connection."""
+        ending = None
+        with trio.CancelScope(deadline=self.fleet.clock.trio_deadline(delegation.ends_at)) as scope:
+            delegation.stop = scope.cancel
+            if delegation.called_off:
+                scope.cancel()
+            await trio.lowlevel.checkpoint_if_cancelled()
+            ending = await self.exchange(delegation)
+        if ending is None and not delegation.written:
+            ending = Ending("moot" if delegation.called_off else "connect_failed")
+        elif ending is None:
+            ending = Ending("cancelled" if delegation.called_off else "timeout")
+        self.fleet.ended(delegation, ending)
+
+    async def exchange(self, delegation: Delegation) -> Ending:
+        link = self.idle_link() or await self.new_link()
+        if link is None:
+            return Ending("connect_failed")
+        call = delegation.call
+        try:
+            if call.permit is not None and (denied := await call.permit.renew(delegation)) is not None:
+                call.finish(denied)
+            # The connect took its time: the box may drain by now, and the call may have had its answer.
+            if call.over or not self.fleet.registry.may_send(self.host.name):
+                return Ending("moot")
+            left_ms = max(1, (delegation.ends_at - self.fleet.clock.now) // 1000)
+            return await link.ask(delegation, self.host.dial, left_ms)
+        finally:
+            if link.clean and not self.retired:
+                link.idle_since = self.fleet.clock.now
+                self.idle.append(link)
+                if len(self.idle) == 1:
+                    self.mailbox.bell.set()  # the actor is to reckon when this one retires
+            else:
+                self.drop(link)
+
+    def idle_link(self) -> Link | None:
+        while self.idle:
+            link = self.idle.pop()
+            if link.stream.quiet():
+                return link
+            self.drop(link)
+        return None
+
+    async def new_link(self) -> Link | None:
+        if not self.fleet.make_room():
+            return None
+        self.fleet.links += 1
+        stream = None
+        try:
+            stream = await connect(self.host.dial, self.fleet.connect_timeout)
+        finally:
+            self.fleet.links -= stream is None
+        return None if stream is None else Link(stream)
+
+
+class Fleet:
+    """The actors of all tour boxes, and the bound on what they hold open together."""
+
+    def __init__(self, clock: Clock, registry: Registry, ended: Callable[[Delegation, Ending], None],
+                 keepalive: float, connect_timeout: float, most_links: int) -> None:
+        self.clock, self.registry, self.ended = clock, registry, ended
+        self.idle_for, self.connect_timeout = round(keepalive * RETIRE_SHARE * SECOND), connect_timeout
+        self.most_links, self.links = most_links, 0
+        self.boxes: dict[str, TourBox] = {}
+        self.nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as self.nursery:
+            for box in self.boxes.values():
+                self.nursery.start_soon(box.run)
+            await trio.sleep_forever()
+
+    def changed(self, host: Host) -> None:
+        """The registry's word: a new box, one that moved or started anew, or one that is gone."""
+        box = self.boxes.get(host.name)
+        if host.state == "gone":
+            if box is not None:
+                del self.boxes[host.name]
+                box.retired = True
+                box.mailbox.put(None)
+        elif box is None:
+            box = self.boxes[host.name] = TourBox(host, self)
+            if self.nursery is not None:
+                self.nursery.start_soon(box.run)
+        else:
+            if (box.host.dial, box.host.started) != (host.dial, host.started):
+                box.mailbox.put(None)  # its connections led to the process before
+            box.host = host
+
+    def delegate(self, delegation: Delegation) -> None:
+        box = self.boxes.get(delegation.host)
+        if box is None or not box.mailbox.put(delegation):
+            self.ended(delegation, Ending("moot" if box is None else "connect_failed"))
+
+    def close_idle(self, host: str) -> None:
+        if (box := self.boxes.get(host)) is not None:
+            box.mailbox.put(None)
+
+    def make_room(self) -> bool:
+        """Whether one more connection may be opened; an idle one elsewhere gives way."""
+        if self.links >= self.most_links:
+            idle = [box for box in self.boxes.values() if box.idle]
+            if not idle:
+                return False
+            oldest = min(idle, key=lambda box: box.idle[0].idle_since)
+            oldest.drop(oldest.idle.popleft())
+        return True
--- /dev/null
+++ b/gorsefork/wire/discovery.py
@@ -0,0 +1,109 @@
+"""Discovery on the wire: the list once, then one watch after another."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import h11
+import trio
+
+from gorsefork.decisions.interface import State
+from gorsefork.memory.clock import Clock
+from gorsefork.memory.registry import Host, News, Registry
+from gorsefork.wire.stream import Stream, connect
+
+STATES: Mapping[str, State] = {"active": "ready", "leaving": "draining", "left": "gone"}
+WAIT_MS = 5000  # short enough that a silent agent is noticed and asked anew within seconds
+ANSWER_WITHIN, CONNECT_WITHIN, PAUSE = 1.0, 0.25, 0.1  # s: beyond the wait; for a connection; before a retry
+MOST_BYTES = 4 << 20
+
+
+class BadList(Exception):
+    """An answer of discovery that cannot be read."""
+
+
+def read_list(raw: Any, clock: Clock, cached: bool = False) -> News:
+    """A list in discovery's form; Unix times become times of this machine's clock here."""
+    try:
+        hosts = tuple(read_host(entry, clock) for entry in raw["hosts"])
+        kind = "cached" if cached else "full" if raw["whole"] else "delta"
+        return News(kind, int(raw["seq"]), hosts)  # type: ignore[arg-type]
+    except (KeyError, TypeError, ValueError) as error:
+        raise BadList(f"discovery's list: {type(error).__name__}: {error}") from None
+
+
+def read_host(entry: Mapping[str, Any], clock: Clock) -> Host:
+    born = int(entry.get("born_ms", 0))
+    return Host(str(entry["host"]), str(entry["dial"]), STATES[entry["health"]],
+                clock.from_unix_ms(born) if born else 0, str(entry.get("site", "")),
+                str(entry.get("class", "")), int(entry.get("block", 0)), float(entry.get("share", 1.0)))
+
+
+class DiscoveryWatch:
+    """Keeps a watch up. While discovery is silent the list stays as it is and the watch is tried again."""
+
+    def __init__(self, dial: str, registry: Registry, clock: Clock, version: int) -> None:
+        self.dial, self.registry, self.clock, self.version = dial, registry, clock, version
+        self.whole_next = True
+        self.answered = trio.Event()
+
+    def fetch(self) -> None:
+        """The module asks for the whole list: the next call brings it."""
+        self.whole_next = True
+
+    async def run(self) -> None:
+        while True:
+            stream = await connect(self.dial, CONNECT_WITHIN)
+            if stream is not None:
+                try:
+                    await self.keep_asking(stream)
+                except (OSError, h11.ProtocolError, BadList, trio.TooSlowError):
+                    pass
+                finally:
+                    stream.close()
+            await trio.sleep(PAUSE)
+
+    async def keep_asking(self, stream: Stream) -> None:
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_BYTES)
+        while True:
+            whole, self.whole_next = self.whole_next, False
+            target = "/v1/servers" if whole else f"/v1/servers?index={self.version}&wait={WAIT_MS}"
+            try:
+                with trio.fail_after(ANSWER_WITHIN + (0 if whole else WAIT_MS / 1000)):
+                    raw = await self.ask(stream, http, target)
+            except BaseException:
+                self.whole_next |= whole
+                raise
+            news = read_list(raw, self.clock)
+            self.version = news.version
+            if news.hosts or news.kind == "full":
+                self.registry.mailbox.put(news)
+            self.answered.set()
+            http.start_next_cycle()
+
+    async def ask(self, stream: Stream, http: h11.Connection, target: str) -> Any:
+        request = h11.Request(method="GET", target=target, headers=[("Host", self.dial)])
+        head = http.send_with_data_passthrough(request) or []
+        await stream.send([*head, *(http.send_with_data_passthrough(h11.EndOfMessage()) or [])])
+        status, body = 0, bytearray()
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await stream.receive())
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MOST_BYTES:
+                    raise BadList("discovery's list is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                if status != 200:
+                    raise BadList(f"discovery answered {status}")
+                try:
+                    return json.loads(body)
+                except ValueError:
+                    raise BadList("discovery's list is not JSON") from None
+            elif not isinstance(event, h11.InformationalResponse):
+                raise BadList("discovery closed the connection")
--- /dev/null
+++ b/gorsefork/wire/platform.py
@@ -0,0 +1,106 @@
+"""The platform's front: its heads to calls, and nothing else."""
+
+from __future__ import annotations
+
+import itertools
+import re
+from collections.abc import Callable, Sequence
+
+from gorsefork.decisions import interface as i
+from gorsefork.memory.call import Call, Denied, Overload
+from gorsefork.wire.acceptor import Exchange
+
+IDS = itertools.count(1)
+CUSTOMER = re.compile(r"[0-9a-fA-F]{16}")
+TRACE = re.compile(r"[!-~]{1,128}")
+METHODS = {"repeatable": "GET"}
+NOT_READY_ADVICE = 0.5  # s until a client may try again while this ingress starts
+
+
+class BadCall(Exception):
+    """A request that is no call, and the answer it gets."""
+
+    def __init__(self, status: int, *headers: tuple[str, str]) -> None:
+        super().__init__(status)
+        self.denied = Denied(status, headers)
+
+
+class PlatformFront:
+    """``take`` and ``gone`` are the core's; ``ready`` tells whether all is up."""
+
+    whole_seconds = False
+
+    def __init__(self, settings: i.Settings, take: Callable[[Call], None], gone: Callable[[Call], None],
+                 ready: Callable[[], bool]) -> None:
+        self.take, self.gone, self.ready = take, gone, ready
+        self.reader = CallReader(settings)
+
+    def begin(self, exchange: Exchange) -> None:
+        if exchange.target == "/healthz":
+            exchange.deny(200 if self.ready() else 503)
+            return
+        try:
+            call = self.reader.read(exchange)
+        except BadCall as bad:
+            exchange.reply(bad.denied)
+            return
+        if not self.ready():
+            exchange.reply(Overload(NOT_READY_ADVICE))
+            return
+        exchange.call, exchange.left = call, lambda: self.gone(call)
+        self.take(call)
+
+
+class CallReader:
+    """Reads a request strictly: what is unknown or malformed gets a clean 4xx."""
+
+    def __init__(self, settings: i.Settings) -> None:
+        self.classes = {cls.name: number for number, cls in enumerate(settings.classes)}
+        self.plans = {plan.name: number for number, plan in enumerate(settings.plans)}
+        self.settings = settings
+
+    def cls(self, exchange: Exchange) -> int:
+        path = exchange.target.partition("?")[0]
+        number = self.classes.get(path[1:].partition("/")[0]) if path.startswith("/") else None
+        if number is None:
+            raise BadCall(404)
+        method = METHODS.get(self.settings.classes[number].effect, "POST")
+        if exchange.method != method:
+            raise BadCall(405, ("Allow", method))
+        if method == "POST" and not exchange.text(b"idempotency-key"):
+            raise BadCall(400)
+        return number
+
+    def read(self, exchange: Exchange) -> Call:
+        cls, trace = self.cls(exchange), exchange.text(b"x-trace-id")
+        plan = self.plans.get(exchange.text(b"x-contract"))
+        customer = exchange.text(b"x-client-id")
+        if plan is None or not TRACE.fullmatch(trace) or not CUSTOMER.fullmatch(customer):
+            raise BadCall(400)
+        left_ms = whole(exchange.text(b"x-expires-in-ms"), 1, 86_400_000)
+        units, spread, first = metering(exchange.text(b"x-metering"), self.settings.gatekeepers)
+        return Call(
+            f"{next(IDS):x}", exchange.method, exchange.target, bytes(exchange.body), trace,
+            exchange.text(b"idempotency-key"), cls, plan, customer.lower(), units, spread, first,
+            exchange.came_at, exchange.came_at + left_ms * 1000, exchange.reply,
+            exchange.text(b"x-second-try") == "1")
+
+
+def whole(text: str, least: int, most: int) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 9 or not least <= int(text) <= most:
+        raise BadCall(400)
+    return int(text)
+
+
+def metering(text: str, ingresses: int) -> tuple[float, int, int]:
+    """``units``, ``spread`` and ``first``, each once; what else is named there is not ours to read."""
+    pairs: Sequence[tuple[str, str, str]] = [part.strip().partition("=") for part in text.split(",")]
+    values = {name: value for name, _, value in pairs}
+    try:
+        units = float(values["units"])
+        spread, first = whole(values["spread"], 1, ingresses), whole(values["first"], 0, ingresses - 1)
+    except (KeyError, ValueError):
+        raise BadCall(400) from None
+    if len(values) < len(pairs) or not 0.0 < units < 1e6:
+        raise BadCall(400)
+    return units, spread, first
