Add the token introspection front, its configuration tool and the drain by the module

Second front on the same core: RFC 6750 bearer tokens, RFC 7662 checks inside the call's own deadline, bounded in flight, never cached; a purchase sent late after its check, or again, is checked anew just before its first byte. At the end of a drain the module is told Closing and gives up what it holds, by its own rules. A connection accepted while closing may stay silent for a second; that limit is lifted once a request begins, or a call in hand would be dropped.

The front has no tests yet: they come next.

--- a/gorsefork/decisions/interface.py
+++ b/gorsefork/decisions/interface.py
@@ -322,5 +322,10 @@
     text: str
 
 
-Event = Request | Started | Outcome | Gone | Timer | Probed | Counted | PeerMessage | ServerList
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """This gatekeeper stops: what it still holds is to get its answer now."""
+
+
+Event = Request | Started | Outcome | Gone | Timer | Probed | Counted | PeerMessage | ServerList | Closing
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Count | Tell | Watch | FetchList | Log
--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -547,7 +547,7 @@
         self.takers: dict[type, Callable[[Any], None]] = {
             i.Request: self.arrive, i.Outcome: self.outcome, i.Timer: self.timer, i.Counted: self.counted,
             i.ServerList: self.listed, i.Started: self.began, i.Gone: self.left, i.Probed: self.probed,
-            i.PeerMessage: self.heard}
+            i.PeerMessage: self.heard, i.Closing: self.closing}
 
     def handle(self, now: float, events: Iterable[i.Event]) -> Sequence[i.Action]:
         self.now = now
@@ -568,6 +568,10 @@
         if ticket := self.tickets.get(event.id):
             self.end(ticket, None)
 
+    def closing(self, event: i.Closing) -> None:
+        for ticket in [t for t in self.tickets.values() if not t.closed and not t.streaming]:
+            self.give_up(ticket)
+
     def counted(self, event: i.Counted) -> None:
         if account := self.quota.counted(event, self.now):
             for claim, borne_out in list(self.quota.confirm(account, event.status, self.now)):
--- /dev/null
+++ b/gorsefork/life/introspection_config.py
@@ -0,0 +1,161 @@
+"""The introspection front's own file: read strictly, and refused with the key named."""
+
+from __future__ import annotations
+
+import os
+import re
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+PATH = Path(__file__).parents[2] / "deploy" / "introspection.toml"
+CLAIMS = ("sub", "client_id", "username")
+MOST_TIMEOUT_MS = 700  # well under the 1.5 s that a purchase is wanted within
+
+
+class BadFile(Exception):
+    """A file that cannot be used; the text begins with the key at fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class TenantEntry:
+    plan: str
+    customer: str
+    spread: int
+    first: int
+
+
+@dataclass(frozen=True, slots=True)
+class IntrospectionConfig:
+    application: str
+    listen: str
+    address: str
+    path: str
+    client_id: str
+    client_secret: str = field(repr=False)
+    timeout_ms: int
+    max_age_ms: int
+    most_in_flight: int
+    tenant_claim: str
+    audience: str
+    scopes: Mapping[str, str]
+    tenants: Mapping[str, TenantEntry]
+
+
+class Table:
+    """One table of the file: each key is taken once, with its type; what is left over is unknown."""
+
+    def __init__(self, raw: Any, name: str) -> None:
+        if not isinstance(raw, dict):
+            raise BadFile(f"{name}: a table was expected")
+        self.raw, self.name = dict(raw), name
+
+    def key(self, key: str) -> str:
+        return f"{self.name}.{key}" if self.name else key
+
+    def text(self, key: str, pattern: str, default: str | None = None) -> str:
+        value = self.raw.pop(key, default)
+        if not isinstance(value, str) or not re.fullmatch(pattern, value):
+            raise BadFile(f"{self.key(key)}: " + ("is missing" if value is None else "is not of its form"))
+        return value
+
+    def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
+        value = self.raw.pop(key, default)
+        if type(value) is not int or not least <= value <= most:
+            raise BadFile(f"{self.key(key)}: must be a whole number from {least} to {most}")
+        return value
+
+    def flag(self, key: str, default: bool) -> bool:
+        value = self.raw.pop(key, default)
+        if not isinstance(value, bool):
+            raise BadFile(f"{self.key(key)}: must be true or false")
+        return value
+
+    def table(self, key: str) -> Table:
+        return Table(self.raw.pop(key, {}), self.key(key))
+
+    def done(self) -> None:
+        for key in self.raw:
+            raise BadFile(f"{self.key(key)}: is not known")
+
+
+NAME, HOST_PORT, TARGET = r"[A-Za-z0-9._-]{1,64}", r"[A-Za-z0-9.\[\]:-]+:[0-9]{1,5}", r"/[!-~]*"
+SCOPE = r"[!#-\[\]-~]+"  # a scope token of RFC 6749
+
+
+def read(text: str, env: Mapping[str, str], secrets: bool = True) -> IntrospectionConfig | None:
+    """None when the front is off. ``secrets``: whether the secret itself must be at hand."""
+    try:
+        top = Table(tomllib.loads(text), "")
+    except tomllib.TOMLDecodeError as error:
+        raise BadFile(f"file: is not TOML ({error})") from None
+    if not top.flag("enabled", False):
+        return None
+    server, scopes, tenants = top.table("server"), top.table("scopes"), top.table("tenants")
+    config = IntrospectionConfig(
+        application=top.text("application", NAME),
+        listen=port(top, "listen"),
+        address=port(server, "address"),
+        path=server.text("path", TARGET, "/introspect"),
+        client_id=server.text("client_id", r"[ -~]+"),
+        client_secret=secret(server, env, secrets),
+        timeout_ms=server.whole("timeout_ms", 10, MOST_TIMEOUT_MS, 400),
+        max_age_ms=server.whole("max_age_ms", 0, 1500, 250),
+        most_in_flight=server.whole("most_in_flight", 1, 200, 32),
+        tenant_claim=server.text("tenant_claim", "|".join(CLAIMS), "client_id"),
+        audience=server.text("audience", r"[ -~]*", ""),
+        scopes={cls: scopes.text(cls, SCOPE) for cls in list(scopes.raw)},
+        tenants={name: tenant(tenants.table(name)) for name in list(tenants.raw)},
+    )
+    for table in (server, scopes, tenants, top):
+        table.done()
+    return config
+
+
+def port(table: Table, key: str) -> str:
+    value = table.text(key, HOST_PORT)
+    if not int(value.rpartition(":")[2]) <= 65535:
+        raise BadFile(f"{table.key(key)}: has no such port")
+    return value
+
+
+def secret(server: Table, env: Mapping[str, str], needed: bool) -> str:
+    """The secret stays out of the file: it is named by a variable or by a file of its own."""
+    variable = server.text("client_secret_env", r"[A-Za-z_][A-Za-z0-9_]*|", "")
+    path = server.text("client_secret_file", r"[ -~]*", "")
+    if bool(variable) == bool(path):
+        raise BadFile("server.client_secret_env: name either this or server.client_secret_file")
+    if not needed:
+        return ""
+    try:
+        value = env.get(variable, "") if variable else Path(path).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise BadFile(f"server.client_secret_file: {error.strerror}") from None
+    if not value:
+        raise BadFile(f"server.client_secret_{'env' if variable else 'file'}: holds nothing")
+    return value
+
+
+def tenant(table: Table) -> TenantEntry:
+    entry = TenantEntry(table.text("plan", r"[!-~]+"), table.text("customer", r"[0-9a-f]{16}"),
+                        table.whole("spread", 1, 10_000, 1), table.whole("first", 0, 9_999, 0))
+    table.done()
+    return entry
+
+
+def at_start(env: Mapping[str, str]) -> IntrospectionConfig | None:
+    """The file that the program starts with; absent means off."""
+    path = Path(env.get("GORSEFORK_INTROSPECTION") or PATH)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except FileNotFoundError:
+        return None
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadFile(f"file: {error}") from None
+    return read(text, env)
+
+
+def from_environment() -> IntrospectionConfig | None:
+    return at_start(os.environ)
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -12,6 +12,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import BadConfig, Config, read_config
+from gorsefork.life.introspection_config import BadFile, IntrospectionConfig, from_environment
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.deciding import Decider
 from gorsefork.memory.registry import Registry
@@ -20,13 +21,17 @@
 from gorsefork.wire.counter import CounterClient
 from gorsefork.wire.datagrams import PeerSocket
 from gorsefork.wire.discovery import BadList, DiscoveryWatch, read_list
+from gorsefork.wire.introspection import Gate, IntrospectionFront
+from gorsefork.wire.introspection_client import IntrospectionClient
 from gorsefork.wire.platform import PlatformFront
+from gorsefork.wire.tokens import TableOfTenants, Tenant
 
-CLIENT_SHARE, BOX_SHARE = 0.55, 0.3  # of the descriptors; the rest is for all else
+CLIENT_SHARE, BOX_SHARE, SECOND_SHARE = 0.45, 0.3, 0.1  # of the descriptors; the rest is for all else
 DISCOVERY_PATIENCE = 0.3  # s at the start for discovery's first word; then the known list has to do
 ACCEPT_FOR = 0.45  # s after SIGTERM: the front goes on sending new connections for up to 0.4 s
 FINISH_BY = 3.3  # s after SIGTERM, the last answers; SIGKILL comes no sooner than at 3.7 s
 LAST_WRITES = 0.1  # s for answers to leave
+LOOK_EVERY = 0.02  # s between looks whether all have left
 
 
 def log(text: str) -> None:
@@ -49,7 +54,7 @@
 class Ingress:
     """One ingress, all parts of it, from its configuration."""
 
-    def __init__(self, config: Config, clock: Clock) -> None:
+    def __init__(self, config: Config, clock: Clock, introspection: IntrospectionConfig | None) -> None:
         settings, sockets = config.settings, config.sockets
         self.clock, self.is_ready = clock, False
         self.decider = Decider(settings, config.seed, clock, log)
@@ -69,12 +74,27 @@
         self.decider.boxes, self.decider.discovery = self.fleet, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
         front = PlatformFront(settings, self.decider.take, self.decider.gone, lambda: self.is_ready)
-        self.acceptor = Acceptor(config.listen, front, clock, int(sockets * CLIENT_SHARE))
+        self.acceptors = [Acceptor(config.listen, front, clock, int(sockets * CLIENT_SHARE))]
+        if introspection is not None:
+            self.acceptors.append(self.second_front(introspection, settings, sockets))
+
+    def second_front(self, given: IntrospectionConfig, settings: i.Settings, sockets: int) -> Acceptor:
+        client = IntrospectionClient(given.address, given.path, given.client_id, given.client_secret,
+                                     given.timeout_ms / 1000, given.most_in_flight, self.clock, log)
+        front = IntrospectionFront(
+            settings, Gate(client, given.scopes, given.audience), tenants_of(given, settings),
+            given.tenant_claim, given.max_age_ms, self.clock, self.decider.take, self.decider.gone,
+            lambda: self.is_ready)
+        acceptor = Acceptor(given.listen, front, self.clock, int(sockets * SECOND_SHARE))
+        front.start = acceptor.start
+        return acceptor
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
-            for part in (self.decider, self.registry, self.fleet, self.watch, self.acceptor):
-                nursery.start_soon(part.run)
+            for run in (self.decider.run, self.registry.run, self.fleet.run, self.watch.run):
+                nursery.start_soon(run)
+            for acceptor in self.acceptors:
+                nursery.start_soon(acceptor.run)
             if self.counter is not None:
                 nursery.start_soon(self.counter.run)
             if self.peers is not None:
@@ -96,16 +116,15 @@
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
         began = trio.current_time()
-        self.acceptor.closing = True
-        self.acceptor.close_idle()
+        for acceptor in self.acceptors:
+            acceptor.closing = True
+            acceptor.close_idle()
         await trio.sleep_until(began + ACCEPT_FOR)
-        self.acceptor.stop_listening()
-        while self.acceptor.connections and trio.current_time() < began + FINISH_BY:
-            self.acceptor.close_idle()
-            await trio.sleep(0.02)
-        for call in list(self.decider.calls.values()):
-            if not call.over:
-                self.decider.post(i.Timer(f"d:{call.id}"))
+        for acceptor in self.acceptors:
+            acceptor.stop_listening()
+        while any(a.connections for a in self.acceptors) and trio.current_time() < began + FINISH_BY:
+            await trio.sleep(LOOK_EVERY)
+        self.decider.post(i.Closing())
         await trio.sleep(LAST_WRITES)
 
 
@@ -113,11 +132,26 @@
     try:
         config = read_config(os.environ)
         clock = Clock()
-        trio.run(serve, config, clock, instruments=[clock])
-    except (BadConfig, BadList) as error:
+        trio.run(serve, config, clock, from_environment(), instruments=[clock])
+    except (BadConfig, BadList, BadFile) as error:
         log(f"gorsefork: {error}")
         sys.exit(2)
 
 
-async def serve(config: Config, clock: Clock) -> None:
-    await Ingress(config, clock).run()
+async def serve(config: Config, clock: Clock, introspection: IntrospectionConfig | None) -> None:
+    await Ingress(config, clock, introspection).run()
+
+
+def tenants_of(given: IntrospectionConfig, settings: i.Settings) -> TableOfTenants:
+    """The tenants of the file, checked against the plans and classes of this deployment."""
+    plans = {plan.name: number for number, plan in enumerate(settings.plans)}
+    for cls in given.scopes:
+        if cls not in {known.name for known in settings.classes}:
+            raise BadFile(f"scopes.{cls}: is no class of this deployment")
+    for name, entry in given.tenants.items():
+        if entry.plan not in plans:
+            raise BadFile(f"tenants.{name}.plan: is no plan of this deployment")
+        if entry.spread > settings.gatekeepers or entry.first >= settings.gatekeepers:
+            raise BadFile(f"tenants.{name}.spread: this deployment has {settings.gatekeepers} ingresses")
+    return TableOfTenants({name: Tenant(plans[e.plan], e.customer, e.spread, e.first)
+                           for name, e in given.tenants.items()})
--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -44,8 +44,8 @@
 class Permit(Protocol):
     """What a front asks of a call again just before a delegation's first byte."""
 
-    async def renew(self, delegation: Delegation) -> Denied | None:
-        """None if it may go; else the answer that the call gets instead."""
+    async def renew(self, delegation: Delegation) -> bool:
+        """Whether it may go. If not it never runs, and the call may have had its answer here."""
         ...
 
 
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -106,7 +107,11 @@
                 return
             if isinstance(event, h11.Request):
                 self.acceptor.idle.pop(self, None)
-                headers = {bytes(name): bytes(value) for name, value in event.headers}
+                self.scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
+                headers: dict[bytes, bytes] = {}
+                for name, value in event.headers:  # what stands twice is joined, as its readers expect
+                    seen = headers.get(bytes(name))
+                    headers[bytes(name)] = bytes(value) if seen is None else seen + b", " + bytes(value)
                 self.exchange = exchange = Exchange(
                     event.method.decode("ascii"), event.target.decode("latin-1"), headers,
                     self.acceptor.clock.now, lambda answer: None)
@@ -171,13 +176,12 @@
 
     async def flush(self) -> None:
         """The rest of an answer, for a client that reads slowly."""
-        with trio.CancelScope(shield=False):
-            try:
-                while self.unsent:
-                    parts, self.unsent = self.unsent, []
-                    await self.stream.send([bytes(part) for part in parts])
-            except (OSError, trio.ClosedResourceError):
-                self.stream.close()
+        try:
+            while self.unsent:
+                await self.stream.send([bytes(part) for part in self.unsent])
+                self.unsent = []
+        except (OSError, trio.ClosedResourceError):
+            self.stream.close()
         if self.last:
             self.linger()
 
@@ -234,9 +238,9 @@
     def port(self) -> int:
         return int(self.sock.getsockname()[1])
 
-    def start(self, task: Callable[[], object]) -> None:
-        if self.nursery is not None:
-            self.nursery.start_soon(task)  # type: ignore[arg-type]
+    def start(self, task: Callable[[], Awaitable[None]]) -> None:
+        assert self.nursery is not None
+        self.nursery.start_soon(task)
 
     async def run(self) -> None:
         async with trio.open_nursery() as self.nursery:
--- a/gorsefork/wire/boxes.py
+++ b/gorsefork/wire/boxes.py
@@ -144,8 +144,8 @@
             return Ending("connect_failed")
         call = delegation.call
         try:
-            if call.permit is not None and (denied := await call.permit.renew(delegation)) is not None:
-                call.finish(denied)
+            if call.permit is not None and not await call.permit.renew(delegation):
+                return Ending("moot")
             # The connect took its time: the box may drain by now, and the call may have had its answer.
             if call.over or not self.fleet.registry.may_send(self.host.name):
                 return Ending("moot")
--- /dev/null
+++ b/gorsefork/wire/introspection.py
@@ -0,0 +1,178 @@
+"""The introspection front: a token is checked before the module sees the call, and again before a send."""
+
+from __future__ import annotations
+
+import itertools
+import re
+import secrets
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+
+import trio
+
+from gorsefork.decisions import interface as i
+from gorsefork.memory.call import Call, Denied, Overload
+from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.memory.delegation import Delegation
+from gorsefork.wire.acceptor import Exchange
+from gorsefork.wire.introspection_client import IntrospectionClient, Unavailable
+from gorsefork.wire.platform import TRACE, BadCall, CallReader, metering, whole
+from gorsefork.wire.tokens import BadToken, Claims, NoToken, Tenant, Tenants, bearer
+
+IDS = itertools.count(1)
+RETRY_AFTER = 1.0  # s: what a client is advised while the server cannot be asked
+IN_QUERY = re.compile(r"[?&]access_token=", re.IGNORECASE)
+
+
+def challenge(error: str = "", scope: str = "") -> tuple[str, str]:
+    parts = ['realm="gorsefork"']
+    parts += [f'error="{error}"'] if error else []
+    parts += [f'scope="{scope}"'] if scope else []
+    return "WWW-Authenticate", "Bearer " + ", ".join(parts)
+
+
+INVALID = Denied(401, (challenge("invalid_token"),))
+UNAVAILABLE = Denied(503, (("Retry-After", str(round(RETRY_AFTER))),))
+MAY_HAVE_RUN = Denied(502)
+
+
+class Gate:
+    """One check of a token for a class: the claims, or the answer that the call gets instead."""
+
+    def __init__(self, client: IntrospectionClient, scopes: Mapping[str, str], audience: str) -> None:
+        self.client, self.scopes, self.audience = client, scopes, audience
+
+    async def check(self, token: str, cls: str, within: float) -> Claims | Denied:
+        """Fails closed: what cannot be told is not let through."""
+        try:
+            claims = await self.client.check(token, within)
+        except Unavailable:
+            return UNAVAILABLE
+        if claims is None or (self.audience and self.audience not in claims.audience):
+            return INVALID
+        scope = self.scopes.get(cls, "")
+        if scope and scope not in claims.scopes:
+            return Denied(403, (challenge("insufficient_scope", scope),))
+        return claims
+
+
+@dataclass(slots=True, eq=False)
+class TokenPermit:
+    """Guards against a purchase on a token that was revoked after its check, or between two attempts."""
+
+    gate: Gate
+    clock: Clock
+    token: str = field(repr=False)
+    cls: str
+    max_age: int
+    checked_at: int  # when the check began: what it told was true at that time or later
+    expires: int = 0  # Unix s
+
+    async def renew(self, delegation: Delegation) -> bool:
+        now, call = self.clock.now, delegation.call
+        lapsed = 0 < self.expires <= self.clock.unix(now)
+        if delegation.number == 0 and now - self.checked_at <= self.max_age and not lapsed:
+            return True
+        verdict = await self.gate.check(self.token, self.cls, (delegation.ends_at - now) / SECOND)
+        if isinstance(verdict, Claims):
+            self.checked_at, self.expires = now, verdict.expires
+            return True
+        if verdict is not UNAVAILABLE:
+            call.finish(verdict)
+        elif call.open_delegations() <= 1:  # else an earlier one, sent on a good token, may yet be served
+            # 'Trying again is harmless' is no longer true once one might have run.
+            call.finish(MAY_HAVE_RUN if call.may_have_run() else verdict)
+        return False
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What a request asks for, before anyone knows whose it is."""
+
+    cls: int
+    token: str = field(repr=False)
+    trace: str
+    units: float
+    ends_at: int
+
+
+class IntrospectionFront:
+    """Same core, deadlines and quotas as the platform's front; ``start`` runs a task for it."""
+
+    whole_seconds = True
+
+    def __init__(self, settings: i.Settings, gate: Gate, tenants: Tenants, claim: str, max_age_ms: int,
+                 clock: Clock, take: Callable[[Call], None], gone: Callable[[Call], None],
+                 ready: Callable[[], bool]) -> None:
+        self.settings, self.gate, self.tenants, self.claim = settings, gate, tenants, claim
+        self.max_age, self.clock = max_age_ms * 1000, clock
+        self.take, self.gone, self.ready = take, gone, ready
+        self.reader = CallReader(settings)
+        self.start: Callable[[Callable[[], Awaitable[None]]], None]
+
+    def begin(self, exchange: Exchange) -> None:
+        if exchange.target == "/healthz":
+            exchange.deny(200 if self.ready() else 503)
+            return
+        try:
+            order = self.read(exchange)
+        except BadCall as bad:
+            exchange.reply(bad.denied)
+        except NoToken:
+            exchange.deny(401, challenge())
+        except BadToken:
+            exchange.deny(400, challenge("invalid_request"))
+        else:
+            if self.ready():
+                self.start(partial(self.admit, exchange, order))
+            else:
+                exchange.reply(Overload(RETRY_AFTER))
+
+    def read(self, exchange: Exchange) -> Order:
+        cls = self.reader.cls(exchange)
+        if IN_QUERY.search(exchange.target):  # it would go on to the tour box with the query
+            raise BadToken
+        token = bearer(exchange.text(b"authorization"))
+        trace = exchange.text(b"x-trace-id") or secrets.token_hex(8)
+        if not TRACE.fullmatch(trace):
+            raise BadCall(400)
+        most = round(self.settings.classes[cls].deadline * 1000)
+        given = exchange.text(b"x-expires-in-ms")
+        left_ms = min(most, whole(given, 1, 86_400_000)) if given else most
+        asked = exchange.text(b"x-metering")
+        units = metering(asked + ",spread=1,first=0", self.settings.gatekeepers)[0] if asked else 1.0
+        return Order(cls, token, trace, units, exchange.came_at + left_ms * 1000)
+
+    async def admit(self, exchange: Exchange, order: Order) -> None:
+        """The check, within the call's own deadline; a client that leaves ends it."""
+        began, name = self.clock.now, self.settings.classes[order.cls].name
+        with trio.CancelScope() as scope:
+            exchange.left = scope.cancel
+            verdict = await self.gate.check(order.token, name, (order.ends_at - began) / SECOND)
+            if isinstance(verdict, Denied):
+                exchange.reply(verdict)
+                return
+            tenant = await self.tenants.lookup(verdict.names.get(self.claim, ""))
+            self.admitted(exchange, order, verdict, tenant, began)
+
+    def admitted(self, exchange: Exchange, order: Order, claims: Claims, tenant: Tenant | None,
+                 checked_at: int) -> None:
+        if exchange.answered:
+            return
+        if tenant is None:
+            exchange.deny(403, challenge("insufficient_scope"))
+            return
+        if self.clock.now >= order.ends_at:
+            exchange.reply(UNAVAILABLE)
+            return
+        cls, permit = self.settings.classes[order.cls], None
+        if cls.effect != "repeatable":
+            permit = TokenPermit(self.gate, self.clock, order.token, cls.name, self.max_age, checked_at,
+                                 claims.expires)
+        call = Call(
+            f"t{next(IDS):x}", exchange.method, exchange.target, bytes(exchange.body), order.trace,
+            exchange.text(b"idempotency-key"), order.cls, tenant.plan, tenant.customer, order.units,
+            tenant.spread, tenant.first, exchange.came_at, order.ends_at, exchange.reply, permit=permit)
+        exchange.call, exchange.left = call, lambda: self.gone(call)
+        self.take(call)
--- /dev/null
+++ b/gorsefork/wire/introspection_client.py
@@ -0,0 +1,136 @@
+"""The client of an OAuth 2 introspection server (RFC 7662): form POST, client authentication."""
+
+from __future__ import annotations
+
+import base64
+import time
+from collections import deque
+from collections.abc import Callable
+from urllib.parse import quote_plus, urlencode
+
+import h11
+import trio
+
+from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.wire.stream import Stream, connect
+from gorsefork.wire.tokens import Claims, Malformed, read_claims
+
+MOST_BODY = 65536
+IDLE_FOR = 4 * SECOND
+
+
+class Unavailable(Exception):
+    """No answer that can be relied on: silent, failing, malformed, or too many checks out already."""
+
+
+class Stale(Exception):
+    """A kept connection ended before the first byte of an answer."""
+
+
+class IntrospectionClient:
+    """Asks for each check anew: no answer is kept. ``most`` bounds the checks out, and so the sockets."""
+
+    def __init__(self, address: str, path: str, client_id: str, secret: str, timeout: float, most: int,
+                 clock: Clock, log: Callable[[str], None]) -> None:
+        self.address, self.path, self.timeout, self.most = address, path, timeout, most
+        pair = f"{quote_plus(client_id)}:{quote_plus(secret)}".encode()
+        self.authorization = "Basic " + base64.b64encode(pair).decode("ascii")
+        self.clock, self.log = clock, log
+        self.out = 0
+        self.idle: deque[tuple[Stream, h11.Connection, int]] = deque()
+
+    async def check(self, token: str, within: float) -> Claims | None:
+        """The claims of an active token, None for any other; ``Unavailable`` if neither is told in time."""
+        if self.out >= self.most:
+            raise Unavailable("too many checks out")
+        self.out += 1
+        try:
+            with trio.fail_after(max(0.0, min(self.timeout, within))):
+                return await self.ask(token)
+        except trio.TooSlowError:
+            raise Unavailable("no answer in time") from None
+        except (OSError, h11.ProtocolError) as error:
+            raise Unavailable(type(error).__name__) from None
+        except Malformed as error:
+            self.log(f"introspection: a malformed answer: {error}")
+            raise Unavailable(str(error)) from None
+        finally:
+            self.out -= 1
+
+    async def ask(self, token: str) -> Claims | None:
+        while (kept := self.kept()) is not None:
+            try:
+                return await self.exchange(*kept, token, True)
+            except Stale:
+                continue  # asking about a token changes nothing: a new connection asks again
+        stream = await connect(self.address, self.timeout)
+        if stream is None:
+            raise Unavailable("no connection")
+        return await self.exchange(stream, h11.Connection(h11.CLIENT), token, False)
+
+    def kept(self) -> tuple[Stream, h11.Connection] | None:
+        while self.idle:
+            stream, http, since = self.idle.pop()
+            if since + IDLE_FOR > self.clock.now and stream.quiet():
+                return stream, http
+            stream.close()
+        return None
+
+    async def exchange(self, stream: Stream, http: h11.Connection, token: str, kept: bool) -> Claims | None:
+        keep = False
+        try:
+            status, media, body = await self.post(stream, http, token, kept)
+            if status != 200:
+                self.log(f"introspection: the server answered {status}")
+                raise Unavailable(f"status {status}")
+            if media.partition(";")[0].strip().lower() != "application/json":
+                raise Malformed("not application/json")
+            claims = read_claims(body, time.time())
+            if http.our_state is h11.DONE and http.their_state is h11.DONE:
+                http.start_next_cycle()
+                keep = not http.trailing_data[0]
+            return claims
+        finally:
+            if keep and len(self.idle) < self.most:
+                self.idle.append((stream, http, self.clock.now))
+            else:
+                stream.close()
+
+    async def post(self, stream: Stream, http: h11.Connection, token: str,
+                   kept: bool) -> tuple[int, str, bytes]:
+        form = urlencode({"token": token, "token_type_hint": "access_token"}).encode("ascii")
+        head = h11.Request(method="POST", target=self.path, headers=[
+            ("Host", self.address), ("Authorization", self.authorization), ("Accept", "application/json"),
+            ("Content-Type", "application/x-www-form-urlencoded"), ("Content-Length", str(len(form)))])
+        parts = [part for event in (head, h11.Data(form), h11.EndOfMessage())
+                 for part in http.send_with_data_passthrough(event) or ()]
+        response: h11.Response | None = None
+        body, heard = bytearray(), False
+        try:
+            await stream.send(parts)
+            while not isinstance(event := http.next_event(), h11.EndOfMessage):
+                if event is h11.NEED_DATA:
+                    data = await stream.receive()
+                    if not data and not heard and kept:
+                        raise Stale
+                    heard = True
+                    http.receive_data(data)
+                elif isinstance(event, h11.Response):
+                    response = event
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > MOST_BODY:
+                        raise Malformed("the body is too long")
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise Malformed("no answer")
+        except OSError:
+            if kept and not heard:
+                raise Stale from None
+            raise
+        assert response is not None
+        headers = {bytes(name): bytes(value) for name, value in response.headers}
+        return response.status_code, headers.get(b"content-type", b"").decode("latin-1"), bytes(body)
+
+    def close(self) -> None:
+        while self.idle:
+            self.idle.pop()[0].close()
--- /dev/null
+++ b/gorsefork/wire/tokens.py
@@ -0,0 +1,100 @@
+"""Bearer tokens (RFC 6750), what an introspection answer says of one (RFC 7662), and whose tenant it is."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+BEARER = re.compile(r"bearer +([A-Za-z0-9._~+/-]+=*)", re.IGNORECASE)
+
+
+class NoToken(Exception):
+    """The request carries no credentials at all."""
+
+
+class BadToken(Exception):
+    """What it carries cannot be a bearer token."""
+
+
+def bearer(authorization: str) -> str:
+    if not authorization:
+        raise NoToken
+    if (found := BEARER.fullmatch(authorization.strip(" "))) is None:
+        raise BadToken
+    return found[1]
+
+
+@dataclass(frozen=True, slots=True)
+class Claims:
+    """An active token. ``expires``: Unix seconds, 0 if it does not say."""
+
+    scopes: frozenset[str]
+    names: Mapping[str, str]
+    audience: frozenset[str]
+    expires: int = 0
+
+
+class Malformed(Exception):
+    """An introspection answer that cannot be relied on."""
+
+
+def no_repeats(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Guards against an answer that says ``active`` twice: readers differ in which one they believe."""
+    if len({key for key, _ in pairs}) < len(pairs):
+        raise Malformed("a key stands twice")
+    return dict(pairs)
+
+
+def read_claims(body: bytes, now: float) -> Claims | None:
+    """None for a token that is not active, has expired or is not yet valid. Any doubt is ``Malformed``."""
+    try:
+        raw = json.loads(body, object_pairs_hook=no_repeats)
+    except (ValueError, RecursionError):
+        raise Malformed("not JSON") from None
+    if not isinstance(raw, dict) or not isinstance(raw.get("active"), bool):
+        raise Malformed("active is not true or false")
+    if not raw["active"]:
+        return None
+    for key in ("exp", "nbf"):
+        if key in raw and type(raw[key]) is not int:
+            raise Malformed(f"{key} is not a whole number")
+    for key in ("scope", "sub", "client_id", "username"):
+        if not isinstance(raw.get(key, ""), str):
+            raise Malformed(f"{key} is not text")
+    audience = raw.get("aud", [])
+    audience = [audience] if isinstance(audience, str) else audience
+    if not isinstance(audience, list) or not all(isinstance(each, str) for each in audience):
+        raise Malformed("aud is not text")
+    if raw.get("exp", now + 1) <= now or raw.get("nbf", now) > now:
+        return None
+    names = {key: raw[key] for key in ("sub", "client_id", "username") if raw.get(key)}
+    return Claims(frozenset(raw.get("scope", "").split()), names, frozenset(audience), raw.get("exp", 0))
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """Who pays: the customer whose quota counts, on which plan, and the ingresses that it uses."""
+
+    plan: int
+    customer: str
+    spread: int
+    first: int
+
+
+class Tenants(Protocol):
+    """Where tenants are looked up: a table today, a directory some day."""
+
+    async def lookup(self, name: str) -> Tenant | None: ...
+
+
+class TableOfTenants:
+    """The tenants that the configuration names."""
+
+    def __init__(self, table: Mapping[str, Tenant]) -> None:
+        self.table = table
+
+    async def lookup(self, name: str) -> Tenant | None:
+        return self.table.get(name)
