Show both fronts by scenarios on loopback with stand-ins of the project's own

Seen by them: a full X-Metering was refused by the second front, which appended its own spread and first to it; it now reads the units alone, since the token says whose they are.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -56,7 +56,7 @@
 
     def __init__(self, config: Config, clock: Clock, introspection: IntrospectionConfig | None) -> None:
         settings, sockets = config.settings, config.sockets
-        self.clock, self.is_ready = clock, False
+        self.clock, self.ready = clock, trio.Event()
         self.decider = Decider(settings, config.seed, clock, log)
         self.decider.sites += config.sites
         self.decider.kinds += config.kinds
@@ -73,7 +73,7 @@
                                 self.decider.post) if config.peer_listen else None
         self.decider.boxes, self.decider.discovery = self.fleet, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
-        front = PlatformFront(settings, self.decider.take, self.decider.gone, lambda: self.is_ready)
+        front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set)
         self.acceptors = [Acceptor(config.listen, front, clock, int(sockets * CLIENT_SHARE))]
         if introspection is not None:
             self.acceptors.append(self.second_front(introspection, settings, sockets))
@@ -84,12 +84,22 @@
         front = IntrospectionFront(
             settings, Gate(client, given.scopes, given.audience), tenants_of(given, settings),
             given.tenant_claim, given.max_age_ms, self.clock, self.decider.take, self.decider.gone,
-            lambda: self.is_ready)
+            self.ready.is_set)
         acceptor = Acceptor(given.listen, front, self.clock, int(sockets * SECOND_SHARE))
         front.start = acceptor.start
         return acceptor
 
     async def run(self) -> None:
+        """Until SIGTERM, and then until the drain is over."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.run_parts)
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for _ in signals:
+                    break
+            await self.drain()
+            nursery.cancel_scope.cancel()
+
+    async def run_parts(self) -> None:
         async with trio.open_nursery() as nursery:
             for run in (self.decider.run, self.registry.run, self.fleet.run, self.watch.run):
                 nursery.start_soon(run)
@@ -100,18 +110,13 @@
             if self.peers is not None:
                 nursery.start_soon(self.peers.run)
             nursery.start_soon(self.become_ready)
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                async for _ in signals:
-                    break
-            await self.drain()
-            nursery.cancel_scope.cancel()
 
     async def become_ready(self) -> None:
         with trio.move_on_after(DISCOVERY_PATIENCE):
             await self.watch.answered.wait()
         gc.collect()
         gc.freeze()  # what lives as long as the program is not worth looking at again
-        self.is_ready = True
+        self.ready.set()
 
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -4,7 +4,7 @@
 
 import itertools
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping
 
 from gorsefork.decisions import interface as i
 from gorsefork.memory.call import Call, Denied, Overload
@@ -78,10 +78,12 @@
         if plan is None or not TRACE.fullmatch(trace) or not CUSTOMER.fullmatch(customer):
             raise BadCall(400)
         left_ms = whole(exchange.text(b"x-expires-in-ms"), 1, 86_400_000)
-        units, spread, first = metering(exchange.text(b"x-metering"), self.settings.gatekeepers)
+        values, ingresses = metering(exchange.text(b"x-metering")), self.settings.gatekeepers
+        spread, first = values.get("spread", ""), values.get("first", "")
         return Call(
             f"{next(IDS):x}", exchange.method, exchange.target, bytes(exchange.body), trace,
-            exchange.text(b"idempotency-key"), cls, plan, customer.lower(), units, spread, first,
+            exchange.text(b"idempotency-key"), cls, plan, customer.lower(), units_of(values),
+            whole(spread, 1, ingresses), whole(first, 0, ingresses - 1),
             exchange.came_at, exchange.came_at + left_ms * 1000, exchange.reply,
             exchange.text(b"x-second-try") == "1")
 
@@ -92,15 +94,20 @@
     return int(text)
 
 
-def metering(text: str, ingresses: int) -> tuple[float, int, int]:
-    """``units``, ``spread`` and ``first``, each once; what else is named there is not ours to read."""
-    pairs: Sequence[tuple[str, str, str]] = [part.strip().partition("=") for part in text.split(",")]
+def metering(text: str) -> dict[str, str]:
+    """``units``, ``spread`` and ``first``, each at most once; what else is named there is not ours."""
+    pairs = [part.strip().partition("=") for part in text.split(",")]
     values = {name: value for name, _, value in pairs}
+    if len(values) < len(pairs):
+        raise BadCall(400)
+    return values
+
+
+def units_of(values: Mapping[str, str]) -> float:
     try:
         units = float(values["units"])
-        spread, first = whole(values["spread"], 1, ingresses), whole(values["first"], 0, ingresses - 1)
     except (KeyError, ValueError):
         raise BadCall(400) from None
-    if len(values) < len(pairs) or not 0.0 < units < 1e6:
+    if not 0.0 < units < 1e6:
         raise BadCall(400)
-    return units, spread, first
+    return units
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,229 @@
+"""A small language for scenarios on loopback, and the stand-ins that play in it.
+
+One line, one step, in order: WHO VERB REST. Clients (c1, c2, ...) and servers (box, oauth, counter) speak raw
+HTTP; ``\\n`` in a text stands for an end of line.
+
+    c1 send GET /look Name=value | body    a request; defaults fill in what a call needs
+    box expect GET /look [Name=value]      the next request there begins so, and has these headers
+    box send 200 [Name=value] [| body]     the answer to it; or: box send raw TEXT
+    c1 expect 503 Retry-After [| body]     the answer, with these headers
+    c1 close / box close                   close, or as a server reset, the connection last used
+    c1 wait / box wait                     until the ingress closes that connection
+    box wait idle                          no request is waiting there
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from gorsefork.life.config import Config
+from gorsefork.life.introspection_config import IntrospectionConfig, TenantEntry
+from gorsefork.life.start import Ingress
+from gorsefork.memory.clock import Clock
+from gorsefork.settings import to_settings
+
+MS = 1_000_000
+CUSTOMER = "00000000b4d65521"
+DEFAULTS = {"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Contract": "rated", "X-Client-Id": CUSTOMER,
+            "X-Expires-In-Ms": "3000", "X-Metering": "units=1,spread=1,first=0", "Host": "service.internal"}
+SETTINGS: dict[str, Any] = {
+    "balancers": 1, "step": 4 * MS,
+    "familyInfo": {"sharedCounter": True, "countWait": 80 * MS, "settles": True},
+    "classes": [
+        {"name": "look", "aim": 1000 * MS, "deadline": 3000 * MS},
+        {"name": "buy", "aim": 1000 * MS, "deadline": 3000 * MS, "effect": "by_key", "keyScope": "cell",
+         "window": 10_000 * MS, "worth": 5.0}],
+    "tiersOfService": [{"name": "rated", "rate": 50.0, "depth": 100.0}],
+    "limits": {"maxAttempts": 5, "cancel": True, "retryAfter": True, "maxRetryAfter": 2000 * MS,
+               "connectTimeout": 250 * MS, "keepalive": 15_000 * MS},
+    "invariants": {"drainGrace": 250 * MS, "coldShare": 0.3, "rampTime": 1 * MS, "fallMultiple": 2.5,
+                   "overloadFor": 1500 * MS}}
+
+
+class Server:
+    """A stand-in's listener: its requests are met in their order by the scenario."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.sock = name, socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.dial = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.requests, self.get = trio.open_memory_channel[tuple[Wire, str]](100)
+        self.last: Wire | None = None
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.lowlevel.wait_readable(self.sock)
+                nursery.start_soon(self.serve, Wire(self.sock.accept()[0]))
+
+    async def serve(self, wire: Wire) -> None:
+        while (message := await wire.message()) is not None:
+            await self.requests.send((wire, message))
+        wire.ended.set()
+
+
+class Wire:
+    """One raw connection: whole messages by their Content-Length."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+        self.buffer, self.ended = b"", trio.Event()
+
+    async def message(self) -> str | None:
+        """The next message; None once the other side has closed or reset."""
+        try:
+            while b"\r\n\r\n" not in self.buffer or len(self.buffer) < self.length():
+                if not (data := await self.stream.receive_some()):
+                    return None
+                self.buffer += data
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return None
+        message, self.buffer = self.buffer[: self.length()], self.buffer[self.length():]
+        return message.decode()
+
+    def length(self) -> int:
+        head = self.buffer.partition(b"\r\n\r\n")[0]
+        size = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+        return len(head) + 4 + (int(size[1]) if size else 0)
+
+    async def reset(self) -> None:
+        self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await self.stream.aclose()
+
+
+class World:
+    """Ingresses on one core each, with a stand-in for all that they speak to."""
+
+    def __init__(self, ingresses: int) -> None:
+        self.servers = {name: Server(name) for name in ("box", "oauth", "counter", "disco")}
+        self.clients: dict[str, Wire] = {}
+        self.clock = Clock()
+        self.ingresses = [self.ingress() for _ in range(ingresses)]
+
+    def ingress(self) -> Ingress:
+        entry = {"host": "s-1", "dial": self.servers["box"].dial, "health": "active"}
+        config = Config("n0", "127.0.0.1:0", self.servers["disco"].dial, 1, to_settings(SETTINGS), (), (),
+                        {"seq": 1, "whole": True, "hosts": [entry]}, self.servers["counter"].dial)
+        second = IntrospectionConfig(
+            "guide-app", "127.0.0.1:0", self.servers["oauth"].dial, "/introspect", "me", "s3cret", 300, 250,
+            8, "client_id", "", {"buy": "tour.buy"}, {"museum": TenantEntry("rated", CUSTOMER, 1, 0)})
+        return Ingress(config, self.clock, second)
+
+    async def play(self, script: str) -> None:
+        for line in filter(None, map(str.strip, script.splitlines())):
+            who, verb, rest = [*line.split(" ", 2), ""][:3]
+            step: Callable[[str, str], Awaitable[None]] = getattr(self, f"{verb}_{self.side(who)}")
+            try:
+                with trio.fail_after(5):
+                    await step(who, rest)
+            except (AssertionError, trio.TooSlowError) as error:
+                raise AssertionError(f"at {line!r}: {error!r}") from None
+
+    def side(self, who: str) -> str:
+        return "server" if who in self.servers else "client"
+
+    async def send_client(self, who: str, rest: str) -> None:
+        """A token goes to the second front; ``at=1`` to the second ingress."""
+        head, _, body = rest.partition(" | ")
+        method, target, *words = head.split(" ")
+        given = dict(word.split("=", 1) for word in words if "=" in word)
+        ingress = self.ingresses[int(given.pop("at", 0))]
+        front = ingress.acceptors["token" in given or given.pop("front", "") == "2"]
+        named = {name: value for name, value in given.items() if name[0].isupper()}
+        headers = {**DEFAULTS, "Content-Length": str(len(body)), **named}
+        if "token" in given:
+            headers["Authorization"] = f"Bearer {given['token']}"
+        if who not in self.clients:
+            self.clients[who] = Wire(socket.create_connection(("127.0.0.1", front.port)))
+        lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items() if v), "", body]
+        await self.clients[who].stream.send_all("\r\n".join(lines).encode())
+
+    async def expect_client(self, who: str, rest: str) -> None:
+        head, _, body = rest.partition(" | ")
+        status, *names = head.split()
+        answer = await self.clients[who].message()
+        assert answer is not None, "closed with no answer"
+        assert answer.split(" ")[1] == status, answer
+        assert all(f"\r\n{name.lower()}:" in answer.lower() for name in names), answer
+        assert not body or answer.endswith("\r\n\r\n" + body), answer
+
+    async def close_client(self, who: str, rest: str) -> None:
+        await self.clients.pop(who).stream.aclose()
+
+    async def wait_client(self, who: str, rest: str) -> None:
+        assert await self.clients.pop(who).message() is None, "another answer"
+
+    async def expect_server(self, who: str, rest: str) -> None:
+        server = self.servers[who]
+        server.last, message = await server.get.receive()
+        start, *headers = rest.split(" ")
+        words = [word for word in (start, *headers) if "=" not in word]
+        assert message.startswith(" ".join(words)), message
+        for name, _, value in (h.partition("=") for h in headers if "=" in h):
+            assert f"\r\n{name}: {value}".lower() in message.lower() or f"{name}={value}" in message, message
+        assert who == "oauth" or "Bearer" not in message, "a token went on"
+
+    async def send_server(self, who: str, rest: str) -> None:
+        wire = self.servers[who].last
+        assert wire is not None
+        head, _, body = rest.partition(" | ")
+        status, *headers = head.split(" ")
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+        lines += [header.replace("=", ": ", 1) for header in headers]
+        raw = rest[4:].replace("\\n", "\r\n") if status == "raw" else "\r\n".join([*lines, "", body])
+        await wire.stream.send_all(raw.encode())
+
+    async def close_server(self, who: str, rest: str) -> None:
+        wire = self.servers[who].last
+        assert wire is not None
+        await wire.reset()
+
+    async def wait_server(self, who: str, rest: str) -> None:
+        server = self.servers[who]
+        if rest == "idle":
+            try:
+                raise AssertionError(f"a request waits: {server.get.receive_nowait()[1]}")
+            except trio.WouldBlock:
+                return
+        assert server.last is not None
+        await server.last.ended.wait()
+
+    async def discovery(self) -> None:
+        """Answers the first call of each connection with nothing new, and is silent from then on."""
+        server = self.servers["disco"]
+        while True:
+            wire, message = await server.get.receive()
+            if message.startswith("GET /v1/servers HTTP"):
+                body = json.dumps({"seq": 1, "whole": False, "hosts": []})
+                head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n"
+                await wire.stream.send_all((head + body).encode())
+
+
+def scenario(script: str, ingresses: int = 1, then: Callable[[World], Awaitable[None]] | None = None) -> None:
+    """Play a script; what still runs at its end is cancelled."""
+
+    async def main() -> None:
+        world = World(ingresses)
+        trio.lowlevel.add_instrument(world.clock)
+        async with trio.open_nursery() as nursery:
+            for server in world.servers.values():
+                nursery.start_soon(server.run)
+            nursery.start_soon(world.discovery)
+            for ingress in world.ingresses:
+                nursery.start_soon(ingress.run_parts)
+            for ingress in world.ingresses:
+                await ingress.ready.wait()
+            await world.play(script)
+            if then is not None:
+                await then(world)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,153 @@
+"""Calls through the platform's front: one final answer each, and what a break means."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+from scenario import World, scenario
+
+KEY = "Idempotency-Key=k1"
+
+
+class Answers(unittest.TestCase):
+    def test_a_fetch_and_a_purchase_pass_unchanged(self) -> None:
+        scenario(f"""
+            c1 send GET /look/hall?room=4
+            box expect GET /look/hall?room=4 X-Trace-Id=9b1f03aa5c7e2d41
+            box send 200 X-Settled=2 | the hall
+            c1 expect 200 | the hall
+            c1 send POST /buy {KEY} | two tickets
+            box expect POST /buy {KEY} Content-Length=11
+            box send 200 | sold
+            c1 expect 200 | sold""")
+
+    def test_what_is_no_call_gets_a_clean_4xx(self) -> None:
+        scenario(f"""
+            c1 send GET /nothing
+            c1 expect 404
+            c1 send POST /look
+            c1 expect 405 Allow
+            c1 send POST /buy
+            c1 expect 400
+            c1 send GET /look X-Contract=unknown
+            c1 expect 400
+            c1 send GET /look X-Metering=units=1,spread=9,first=0
+            c1 expect 400
+            c1 send GET /look X-Expires-In-Ms=soon
+            c1 expect 400
+            c1 send GET /healthz
+            c1 expect 200
+            c2 send POST /buy {KEY} | {"x" * 70000}
+            c2 expect 413 Connection
+            c3 send G@T /look
+            c3 expect 400
+            box wait idle""")
+
+    def test_a_client_that_leaves_ends_its_delegation(self) -> None:
+        scenario("""
+            c1 send GET /look
+            box expect GET /look
+            c1 close
+            box wait""")
+
+    def test_a_call_is_given_up_at_its_deadline_and_its_connection_closed(self) -> None:
+        scenario(f"""
+            c1 send GET /look X-Expires-In-Ms=300
+            box expect GET /look
+            c1 expect 503
+            box wait
+            c2 send POST /buy {KEY} X-Expires-In-Ms=300
+            box expect POST /buy
+            c2 expect 502
+            box wait""")
+
+
+class Breaks(unittest.TestCase):
+    def test_a_reset_after_the_last_byte_may_have_run(self) -> None:
+        """A purchase is not refused then, and goes again only with its key, in the same cell."""
+        scenario(f"""
+            c1 send POST /buy {KEY} X-Expires-In-Ms=800
+            box expect POST /buy
+            box close
+            box expect POST /buy {KEY}
+            box close
+            box expect POST /buy {KEY}
+            box send 200 | sold
+            c1 expect 200 | sold""")
+
+    def test_only_never_ran_proves_that_it_never_ran(self) -> None:
+        """After a bare 503 a purchase may have run: the client is not told that trying is harmless."""
+        scenario(f"""
+            c1 send POST /buy {KEY} X-Expires-In-Ms=200
+            box expect POST /buy
+            box send 503
+            box expect POST /buy
+            c1 expect 502
+            c2 send POST /buy {KEY} X-Expires-In-Ms=200
+            box expect POST /buy
+            box send 503 X-Never-Ran=1
+            box expect POST /buy
+            box send 503 X-Never-Ran=1
+            box expect POST /buy
+            box send 503 X-Never-Ran=1
+            box expect POST /buy
+            box send 503 X-Never-Ran=1
+            box expect POST /buy
+            box send 503 X-Never-Ran=1
+            c2 expect 503""")
+
+    def test_a_garbled_or_cut_answer_goes_to_nobody(self) -> None:
+        scenario("""
+            c1 send GET /look X-Expires-In-Ms=500
+            box expect GET /look
+            box send raw NOISE\\n\\n
+            box expect GET /look
+            box send raw HTTP/1.1 200 OK\\nContent-Length: 9\\n\\nhalf
+            box close
+            box expect GET /look
+            box send 200 | whole
+            c1 expect 200 | whole""")
+
+    def test_a_kept_connection_that_turned_readable_is_not_used_again(self) -> None:
+        scenario("""
+            c1 send GET /look
+            box expect GET /look
+            box send 200 | one
+            c1 expect 200 | one
+            box close
+            c1 send GET /look
+            box expect GET /look
+            box send 200 | two
+            c1 expect 200 | two
+            box send raw HTTP/1.1 408 Late\\nContent-Length: 0\\n\\n
+            c1 send GET /look
+            box expect GET /look
+            box send 200 | three
+            c1 expect 200 | three""")
+
+
+class Drain(unittest.TestCase):
+    def test_a_drain_answers_what_was_taken_and_closes_the_rest(self) -> None:
+        async def drain(world: World) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(world.ingresses[0].drain)
+                await world.play("""
+                    c2 wait
+                    c3 send GET /look
+                    box expect GET /look
+                    box send 200 | late
+                    c3 expect 200 Connection | late
+                    box wait idle""")
+                await world.play("c1 expect 503 Connection")
+                await world.play("c1 wait")
+
+        scenario("""
+            c2 send GET /healthz
+            c2 expect 200
+            c1 send GET /look X-Expires-In-Ms=2500
+            box expect GET /look""", then=drain)
+
+
+if __name__ == "__main__":
+    unittest.main()
