--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -197,14 +197,15 @@
         await server.last.ended.wait()
 
     async def discovery(self) -> None:
-        """Answers the first call of each connection with nothing new, and is silent from then on."""
-        server = self.servers["disco"]
-        while True:
+        """Answers each ingress's first call with nothing new; what comes later is the scenario's to meet."""
+        server, answered = self.servers["disco"], 0
+        while answered < len(self.ingresses):
             wire, message = await server.get.receive()
             if message.startswith("GET /v1/servers HTTP"):
                 body = json.dumps({"seq": 1, "whole": False, "hosts": []})
                 head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n"
                 await wire.stream.send_all((head + body).encode())
+                answered += 1
 
 
 def scenario(script: str, ingresses: int = 1, then: Callable[[World], Awaitable[None]] | None = None) -> None:
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,153 @@
+"""The counter, discovery and the fellow ingresses: silent, slow, garbled."""
+
+from __future__ import annotations
+
+import json
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from scenario import Server, World, scenario
+
+from gorsefork.decisions.interface import Counted, PeerMessage
+from gorsefork.memory.clock import Clock
+from gorsefork.memory.registry import Host, News, Registry
+from gorsefork.wire.counter import MOST_OUT, CounterClient
+from gorsefork.wire.datagrams import PeerSocket
+
+Step = Callable[[CounterClient, Server, Callable[[int], Awaitable[list[Counted]]]], Awaitable[None]]
+
+
+def counting(step: Step) -> None:
+    """A counter client against the stand-in; ``heard(n)`` waits for the n-th answer and returns all."""
+
+    async def main() -> None:
+        clock, server, told = Clock(), Server("counter"), list[Counted]()
+        send, get = trio.open_memory_channel[Counted](1000)
+        client = CounterClient(server.dial, clock, 0.08, send.send_nowait)
+
+        async def heard(count: int) -> list[Counted]:
+            while len(told) < count:
+                told.append(await get.receive())
+            return told
+
+        trio.lowlevel.add_instrument(clock)
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.run)
+                nursery.start_soon(client.run)
+                await step(client, server, heard)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+class Counting(unittest.TestCase):
+    def test_calls_go_one_behind_another_and_answers_match_in_order(self) -> None:
+        async def step(client: CounterClient, server: Server,
+                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+            for name, amount in (("a", 2.5), ("b", -1.0), ("a", 1e9)):
+                client.add(name, amount, 4_000_000)
+            messages = []
+            for _ in range(3):
+                wire, message = await server.get.receive()
+                messages.append(message.split(" ")[1])
+            for answer in ("200 X\r\nContent-Length: 3\r\n\r\n2.5", "503 X\r\nContent-Length: 0\r\n\r\n",
+                           "200 X\r\nContent-Length: 4\r\n\r\n1e9\n"):
+                await wire.stream.send_all(f"HTTP/1.1 {answer}".encode())
+            self.assertEqual(messages, ["/v1/count/a?add=2.5&ttl_ms=4000", "/v1/count/b?add=-1&ttl_ms=4000",
+                                        "/v1/count/a?add=1000000000&ttl_ms=4000"])
+            self.assertEqual([(c.name, c.status, c.total) for c in await heard(3)],
+                             [("a", "ok", 2.5), ("b", "full", 0.0), ("a", "ok", 1e9)])
+
+        counting(step)
+
+    def test_a_silent_counter_piles_up_neither_calls_nor_sockets(self) -> None:
+        async def step(client: CounterClient, server: Server,
+                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+            for number in range(MOST_OUT + 10):
+                client.add(f"n{number}", 1.0, 1_000_000)
+            statuses = [c.status for c in await heard(MOST_OUT + 10)]
+            self.assertEqual(statuses.count("connect_failed"), 10)
+            self.assertEqual(statuses.count("timeout"), MOST_OUT)
+            wire, _ = await server.get.receive()
+            await wire.ended.wait()  # silence ends the connection, and with it the line
+            self.assertEqual((len(client.line), client.stream), (0, None))
+
+        counting(step)
+
+    def test_a_late_answer_is_not_taken_for_the_next_call_s(self) -> None:
+        async def step(client: CounterClient, server: Server,
+                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+            client.add("a", 1.0, 1_000_000)
+            await heard(1)
+            client.add("b", 1.0, 1_000_000)
+            wire, _ = await server.get.receive()
+            await server.get.receive()
+            for total in (7, 8):
+                await wire.stream.send_all(f"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n{total}".encode())
+            self.assertEqual([(c.name, c.status, c.total) for c in await heard(2)],
+                             [("a", "timeout", 0.0), ("b", "ok", 8.0)])
+
+        counting(step)
+
+
+class Listing(unittest.TestCase):
+    def test_a_box_that_drains_or_left_gets_nothing_new(self) -> None:
+        told: list[News] = []
+        registry = Registry(told.append, lambda host: None)
+        registry.apply(News("full", 1, (Host("a", "h:1", "ready"), Host("b", "h:2", "ready"))))
+        registry.apply(News("delta", 2, (Host("a", "h:1", "draining"),)))
+        self.assertEqual([registry.may_send(name) for name in "abc"], [False, True, False])
+        registry.apply(News("full", 3, ()))
+        self.assertFalse(registry.may_send("b"))
+        self.assertEqual([news.version for news in told], [1, 2, 3])
+
+    def test_a_list_that_cannot_be_read_is_asked_for_again_and_the_old_one_kept(self) -> None:
+        async def then(world: World) -> None:
+            await world.play("disco expect GET /v1/servers?index=1&wait=")
+            await world.play("disco send 200 | not a list")
+            await world.play("c1 send GET /look")
+            await world.play("box expect GET /look")
+            await world.play("disco expect GET /v1/servers")
+            gone = {"seq": 2, "whole": True, "hosts": []}
+            await world.play(f"disco send 200 | {json.dumps(gone)}")
+            await world.play("disco expect GET /v1/servers?index=2&wait=")
+            self.assertEqual(world.ingresses[0].registry.hosts, {})
+
+        scenario("", then=then)
+
+
+class Fellows(unittest.TestCase):
+    def test_only_fellows_are_heard_and_long_messages_neither_sent_nor_taken(self) -> None:
+        async def main() -> None:
+            send, get = trio.open_memory_channel[PeerMessage](10)
+            socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+            for sock in socks:
+                sock.bind(("127.0.0.1", 0))
+            fellow, stranger, held = socks
+            mine = f"127.0.0.1:{held.getsockname()[1]}"
+            held.close()
+            peers = [mine, f"127.0.0.1:{fellow.getsockname()[1]}"]
+            peer = PeerSocket(mine, peers, "", 0, send.send_nowait)
+            with trio.fail_after(5):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(peer.run)
+                    stranger.sendto(b"no", peer.sock.getsockname())
+                    fellow.sendto(b"x" * 257, peer.sock.getsockname())
+                    fellow.sendto(b"yes", peer.sock.getsockname())
+                    self.assertEqual(await get.receive(), PeerMessage(1, b"yes"))
+                    peer.tell(1, b"y" * 257)
+                    peer.tell(1, b"z" * 256)
+                    await trio.lowlevel.wait_readable(fellow)
+                    self.assertEqual(len(fellow.recv(1000)), 256)
+                    nursery.cancel_scope.cancel()
+            for sock in (fellow, stranger, peer.sock):
+                sock.close()
+
+        trio.run(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
