--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -117,6 +117,7 @@
         gc.collect()
         gc.freeze()  # what lives as long as the program is not worth looking at again
         self.ready.set()
+        log(f"gorsefork: ready on {', '.join(acceptor.where for acceptor in self.acceptors)}")
 
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -238,6 +238,10 @@
     def port(self) -> int:
         return int(self.sock.getsockname()[1])
 
+    @property
+    def where(self) -> str:
+        return f"{self.sock.getsockname()[0]}:{self.port}"
+
     def start(self, task: Callable[[], Awaitable[None]]) -> None:
         assert self.nursery is not None
         self.nursery.start_soon(task)
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -78,8 +78,8 @@
                 raise
             news = read_list(raw, self.clock)
             self.version = news.version
-            if news.hosts or news.kind == "full":
-                self.registry.mailbox.put(news)
+            if (news.hosts or news.kind == "full") and not self.registry.mailbox.put(news):
+                self.whole_next = True  # a change that found no place must not be missed
             self.answered.set()
             http.start_next_cycle()
 
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,68 @@
+"""The program as the platform starts and stops it, and the examples a newcomer starts with."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from gorsefork.life.config import read_config
+from gorsefork.life.introspection_config import at_start
+from gorsefork.life.start import tenants_of
+
+EXAMPLES = Path(__file__).parents[1] / "examples"
+
+
+class Program(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        config = json.loads((EXAMPLES / "config.json").read_text())
+        config.update(listen="127.0.0.1:0", discovery="127.0.0.1:1", counter="127.0.0.1:1")
+        (self.folder / "config.json").write_text(json.dumps(config))
+
+    def start(self, **env: str) -> subprocess.Popen[str]:
+        env = {**os.environ, "PROXY_CONFIG": str(self.folder / "config.json"), **env}
+        program = subprocess.Popen(
+            [sys.executable, "-m", "gorsefork"], env=env, stderr=subprocess.PIPE, text=True)
+        self.addCleanup(program.communicate)
+        self.addCleanup(program.kill)
+        return program
+
+    def test_it_serves_with_discovery_and_counter_down_and_ends_with_0_on_sigterm(self) -> None:
+        program = self.start()
+        assert program.stderr is not None
+        ready = re.search(r"ready on 127\.0\.0\.1:(\d+)", program.stderr.readline())
+        assert ready is not None
+        with socket.create_connection(("127.0.0.1", int(ready[1])), 5) as idle:
+            idle.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertTrue(idle.recv(1000).startswith(b"HTTP/1.1 200"))
+            program.terminate()
+            self.assertEqual(idle.recv(1000), b"")  # an idle connection is closed
+        self.assertEqual(program.wait(3.7), 0)
+
+    def test_a_bad_introspection_file_is_refused_with_its_key(self) -> None:
+        path = self.folder / "introspection.toml"
+        path.write_text((EXAMPLES / "introspection.toml").read_text().replace("small-gallery", "none-such"))
+        program = self.start(GORSEFORK_INTROSPECTION=str(path), TOY_SECRET="toy")
+        _, errors = program.communicate(timeout=10)
+        self.assertEqual((program.returncode, "tenants.museum-1.plan" in errors), (2, True), errors)
+        self.assertNotIn("Traceback", errors)
+
+    def test_the_examples_fit_each_other(self) -> None:
+        config = read_config({"PROXY_CONFIG": str(EXAMPLES / "config.json")})
+        path = str(EXAMPLES / "introspection.toml")
+        second = at_start({"GORSEFORK_INTROSPECTION": path, "TOY_SECRET": "toy"})
+        assert second is not None
+        self.assertEqual(tenants_of(second, config.settings).table["museum-1"].plan, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
