Guard against odd bytes, slow clients, half requests and undiallable hosts

Found by reading for inputs that end the program: a content type or key outside ASCII reached h11 as text and raised there (boxes.py ask, acceptor.py reply); a dial address without a port raised at the first send (stream.py connect); a name in its place would have been looked up in the loop. All are now met where they are read, with tests. An answer that a slow client takes in parts could lose what was answered meanwhile (flush); half a request could hold a connection for ever: 10 s now.

--- a/gorsefork/life/config.py
+++ b/gorsefork/life/config.py
@@ -9,6 +9,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.settings import to_settings
+from gorsefork.wire.stream import address
 
 
 class BadConfig(Exception):
@@ -52,6 +53,9 @@
         raise BadConfig(f"settings: {type(error).__name__}: {error}") from None
     given = raw["settings"]
     try:
+        for key in ("listen", "discovery", "counter", "peer_listen", "peers_all"):
+            if raw.get(key):
+                address(raw[key])
         return Config(
             raw["name"], raw["listen"], raw["discovery"], int(str(raw.get("seed") or "0"), 16), settings,
             tuple(given.get("failureDomains", ())), tuple(given.get("machineTypes", ())),
--- a/gorsefork/life/introspection_config.py
+++ b/gorsefork/life/introspection_config.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+from gorsefork.wire.stream import address
+
 PATH = Path(__file__).parents[2] / "deploy" / "introspection.toml"
 CLAIMS = ("sub", "client_id", "username")
 MOST_TIMEOUT_MS = 700  # well under the 1.5 s that a purchase is wanted within
@@ -116,8 +118,10 @@
 
 def port(table: Table, key: str) -> str:
     value = table.text(key, HOST_PORT)
-    if not int(value.rpartition(":")[2]) <= 65535:
-        raise BadFile(f"{table.key(key)}: has no such port")
+    try:
+        address(value)
+    except ValueError:
+        raise BadFile(f"{table.key(key)}: must be an IP address and a port") from None
     return value
 
 
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -70,7 +70,7 @@
         self.counter = CounterClient(config.counter, clock, settings.accounting.counter_timeout,
                                      self.decider.post) if config.counter else None
         self.peers = PeerSocket(config.peer_listen, config.peers, config.peers_all, settings.me,
-                                self.decider.post) if config.peer_listen else None
+                                self.decider.hear) if config.peer_listen else None
         self.decider.boxes, self.decider.discovery = self.fleet, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
         front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set)
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -48,6 +48,10 @@
         if not self.mailbox.put(event):
             raise MailboxFull(type(event).__name__)
 
+    def hear(self, message: i.PeerMessage) -> None:
+        """Messages may be lost: one that finds no place is."""
+        self.mailbox.put(message)
+
     def take(self, call: Call) -> None:
         """A call is this ingress's from here on: it gets one final answer."""
         left = (call.ends_at - self.clock.now) / SECOND
--- a/gorsefork/memory/mailbox.py
+++ b/gorsefork/memory/mailbox.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import Generic, TypeVar
 
@@ -34,6 +35,10 @@
 
     async def wait(self, deadline: float) -> None:
         """Until there is a letter, or trio's clock shows ``deadline``."""
-        if not self.letters:
+        if self.letters:
+            return
+        if deadline == math.inf:
+            await self.bell.wait()
+        else:
             with trio.CancelScope(deadline=deadline):
                 await self.bell.wait()
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -5,7 +5,7 @@
 import math
 import socket
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -19,10 +19,12 @@
 MOST_BODY = 65536
 MOST_HEAD = 16384
 BACKLOG = 1024
+REQUEST_WITHIN = 10.0  # s from the first byte of a request to its last
+FLUSH_WITHIN = 10.0  # s that a client may take to read an answer
 LINGER = 1.0  # s that a client has to read its last answer and close
 FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
 
-Headers = Iterable[tuple[str, str]]
+Headers = list[tuple[bytes, bytes]]
 
 
 @dataclass(slots=True, eq=False)
@@ -64,6 +66,7 @@
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.exchange: Exchange | None = None
         self.unsent: list[memoryview] = []
+        self.flushing = False
         self.scope = trio.CancelScope()
         self.last = False  # nothing more is read from this client
 
@@ -81,6 +84,8 @@
         """Feed what came; whether this client sends too much ahead of its answer."""
         if self.last:
             return False
+        if self.exchange is None and self.scope.deadline == math.inf:
+            self.scope.deadline = trio.current_time() + REQUEST_WITHIN  # lifted once the request is whole
         self.http.receive_data(data)
         self.advance()
         return self.exchange is not None and len(self.http.trailing_data[0]) > MOST_BODY + MOST_HEAD
@@ -107,7 +112,6 @@
                 return
             if isinstance(event, h11.Request):
                 self.acceptor.idle.pop(self, None)
-                self.scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
                 headers: dict[bytes, bytes] = {}
                 for name, value in event.headers:  # what stands twice is joined, as its readers expect
                     seen = headers.get(bytes(name))
@@ -122,6 +126,7 @@
                     self.reject(413)
                     return
             elif isinstance(event, h11.EndOfMessage) and self.exchange is not None:
+                self.scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
                 self.exchange.came_at = self.acceptor.clock.now  # its time counts from its last byte
                 self.acceptor.front.begin(self.exchange)
             else:  # paused behind the request in hand, or the client has closed
@@ -140,9 +145,9 @@
         exchange.answered = True
         last = last or self.acceptor.closing
         status, headers, body = to_http(answer, self.acceptor.front.whole_seconds)
-        headers.append(("Content-Length", str(len(body))))
+        headers.append((b"Content-Length", str(len(body)).encode()))
         if last:
-            headers.append(("Connection", "close"))
+            headers.append((b"Connection", b"close"))
         head = exchange.method == "HEAD"
         self.write(h11.Response(status_code=status, headers=headers),
                    *([h11.Data(body)] if body and not head else []), h11.EndOfMessage())
@@ -156,14 +161,14 @@
                 self.advance()
         else:
             self.last = True
-            if not self.unsent:
+            if not self.flushing:
                 self.linger()
 
     def write(self, *events: h11.Event) -> None:
         parts = [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
         if self.stream.closed:
             return
-        if self.unsent:
+        if self.flushing:
             self.unsent += map(memoryview, parts)
             return
         try:
@@ -172,17 +177,20 @@
             self.stream.close()  # the reader sees it and ends
             return
         if self.unsent:
+            self.flushing = True
             self.acceptor.start(self.flush)
 
     async def flush(self) -> None:
-        """The rest of an answer, for a client that reads slowly."""
+        """The rest of an answer, for a client that reads slowly; what is answered meanwhile follows it."""
         try:
-            while self.unsent:
-                await self.stream.send([bytes(part) for part in self.unsent])
-                self.unsent = []
-        except (OSError, trio.ClosedResourceError):
+            with trio.fail_after(FLUSH_WITHIN):
+                while self.unsent:
+                    parts, self.unsent = self.unsent, []
+                    await self.stream.send(parts)
+        except (OSError, trio.ClosedResourceError, trio.TooSlowError):
             self.stream.close()
-        if self.last:
+        self.flushing = False
+        if self.last and not self.stream.closed:
             self.linger()
 
     def linger(self) -> None:
@@ -191,31 +199,31 @@
         self.scope.deadline = min(self.scope.deadline, trio.current_time() + LINGER)
 
     def close_if_idle(self) -> None:
-        """What has arrived unread is read first: it would be a call that this ingress has taken."""
-        if self.exchange is not None or self.last or self.stream.closed:
+        """What has arrived unread is read first: it may be a call that this ingress has taken by that.
+        Half a head is none yet."""
+        if self.exchange is not None or self.last or self.flushing or self.stream.closed:
             return
         try:
-            data = self.stream.receive_now()
+            if data := self.stream.receive_now():
+                self.take(data)
         except OSError:
-            data = b""
-        if data:
-            self.take(data)
-        elif data == b"" or not self.http.trailing_data[0]:
+            pass  # it is closed below
+        if self.exchange is None and not self.last and not self.stream.closed:
             self.last = True
             self.linger()
 
 
-def to_http(answer: Answer, whole_seconds: bool) -> tuple[int, list[tuple[str, str]], bytes]:
-    if isinstance(answer, Served):
-        return 200, [("Content-Type", answer.media)] if answer.media else [], answer.body
+def to_http(answer: Answer, whole_seconds: bool) -> tuple[int, Headers, bytes]:
+    if isinstance(answer, Served):  # a box may use any bytes there, so they go back as they came
+        return 200, [(b"Content-Type", answer.media.encode("latin-1"))] if answer.media else [], answer.body
     if isinstance(answer, Overload):
         if answer.retry_after <= 0:
             return 503, [], b""
         advice = str(-int(-answer.retry_after // 1)) if whole_seconds else f"{answer.retry_after:.3f}"
-        return 503, [("Retry-After", advice)], b""
+        return 503, [(b"Retry-After", advice.encode())], b""
     if isinstance(answer, Failed):
         return 502, [], b""
-    return answer.status, list(answer.headers), b""
+    return answer.status, [(name.encode(), value.encode()) for name, value in answer.headers], b""
 
 
 class Acceptor:
--- a/gorsefork/wire/boxes.py
+++ b/gorsefork/wire/boxes.py
@@ -104,8 +104,9 @@
         clock = self.fleet.clock
         async with trio.open_nursery() as nursery:
             while not self.retired:
-                due = self.idle[0].idle_since + self.fleet.idle_for if self.idle else None
-                await self.mailbox.wait(float("inf") if due is None else clock.trio_deadline(due))
+                # A connection that falls idle while the actor waits retires no sooner than this either.
+                since = self.idle[0].idle_since if self.idle else clock.now
+                await self.mailbox.wait(clock.trio_deadline(since + self.fleet.idle_for))
                 for order in self.mailbox.drain():
                     if order is None:
                         self.close_idle()
@@ -155,8 +156,6 @@
             if link.clean and not self.retired:
                 link.idle_since = self.fleet.clock.now
                 self.idle.append(link)
-                if len(self.idle) == 1:
-                    self.mailbox.bell.set()  # the actor is to reckon when this one retires
             else:
                 self.drop(link)
 
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -12,7 +12,7 @@
 from gorsefork.decisions.interface import State
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.registry import Host, News, Registry
-from gorsefork.wire.stream import Stream, connect
+from gorsefork.wire.stream import Stream, address, connect
 
 STATES: Mapping[str, State] = {"active": "ready", "leaving": "draining", "left": "gone"}
 WAIT_MS = 5000  # short enough that a silent agent is noticed and asked anew within seconds
@@ -30,12 +30,13 @@
         hosts = tuple(read_host(entry, clock) for entry in raw["hosts"])
         kind = "cached" if cached else "full" if raw["whole"] else "delta"
         return News(kind, int(raw["seq"]), hosts)  # type: ignore[arg-type]
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadList(f"discovery's list: {type(error).__name__}: {error}") from None
 
 
 def read_host(entry: Mapping[str, Any], clock: Clock) -> Host:
     born = int(entry.get("born_ms", 0))
+    address(entry["dial"])  # one that cannot be dialled is found here, not at the first send
     return Host(str(entry["host"]), str(entry["dial"]), STATES[entry["health"]],
                 clock.from_unix_ms(born) if born else 0, str(entry.get("site", "")),
                 str(entry.get("class", "")), int(entry.get("block", 0)), float(entry.get("share", 1.0)))
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -12,6 +12,7 @@
 
 IDS = itertools.count(1)
 CUSTOMER = re.compile(r"[0-9a-fA-F]{16}")
+KEY = re.compile(r"[!-~]([ -~]{0,253}[!-~])?")
 TRACE = re.compile(r"[!-~]{1,128}")
 METHODS = {"repeatable": "GET"}
 NOT_READY_ADVICE = 0.5  # s until a client may try again while this ingress starts
@@ -67,7 +68,8 @@
         method = METHODS.get(self.settings.classes[number].effect, "POST")
         if exchange.method != method:
             raise BadCall(405, ("Allow", method))
-        if method == "POST" and not exchange.text(b"idempotency-key"):
+        key = exchange.text(b"idempotency-key")
+        if (method == "POST" or key) and not KEY.fullmatch(key):  # it goes on as it came, or not at all
             raise BadCall(400)
         return number
 
--- a/gorsefork/wire/stream.py
+++ b/gorsefork/wire/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import ipaddress
 import os
 import socket
 from collections.abc import Sequence
@@ -48,7 +49,7 @@
             return False
         return False
 
-    def write_now(self, buffers: Sequence[bytes]) -> list[memoryview]:
+    def write_now(self, buffers: Sequence[bytes | memoryview]) -> list[memoryview]:
         """One gathered write; what the socket did not take. ``OSError`` when the connection is broken."""
         try:
             sent = self.sock.sendmsg(buffers)
@@ -56,7 +57,7 @@
             sent = 0
         return rest(buffers, sent)
 
-    async def send(self, buffers: Sequence[bytes]) -> None:
+    async def send(self, buffers: Sequence[bytes | memoryview]) -> None:
         left: Sequence[bytes | memoryview] = self.write_now(buffers)
         while left:
             if self.closed:
@@ -92,11 +93,12 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    """``host:port`` as a socket address; ``ValueError`` where it is none."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host:
-        raise ValueError(f"{text!r} is not host:port")
-    return host.strip("[]"), int(port)
+    """``ip:port`` as a socket address; ``ValueError`` where it is none. There are no names here to resolve,
+    and looking one up would hold up the loop."""
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is not ip:port")
+    return str(ipaddress.ip_address(host.strip("[]"))), int(port)
 
 
 async def connect(dial: str, timeout: float) -> Stream | None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -87,7 +87,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return None
         message, self.buffer = self.buffer[: self.length()], self.buffer[self.length():]
-        return message.decode()
+        return message.decode("latin-1")
 
     def length(self) -> int:
         head = self.buffer.partition(b"\r\n\r\n")[0]
@@ -144,7 +144,7 @@
         if who not in self.clients:
             self.clients[who] = Wire(socket.create_connection(("127.0.0.1", front.port)))
         lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items() if v), "", body]
-        await self.clients[who].stream.send_all("\r\n".join(lines).encode())
+        await self.clients[who].stream.send_all("\r\n".join(lines).encode("latin-1"))
 
     async def expect_client(self, who: str, rest: str) -> None:
         head, _, body = rest.partition(" | ")
@@ -179,7 +179,7 @@
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
         lines += [header.replace("=", ": ", 1) for header in headers]
         raw = rest[4:].replace("\\n", "\r\n") if status == "raw" else "\r\n".join([*lines, "", body])
-        await wire.stream.send_all(raw.encode())
+        await wire.stream.send_all(raw.encode("latin-1"))
 
     async def close_server(self, who: str, rest: str) -> None:
         wire = self.servers[who].last
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 
 import trio
 from scenario import World, scenario
 
+from gorsefork.wire.stream import Stream
+
 KEY = "Idempotency-Key=k1"
 
 
@@ -34,6 +37,8 @@
             c1 expect 400
             c1 send GET /look X-Metering=units=1,spread=9,first=0
             c1 expect 400
+            c1 send POST /buy Idempotency-Key=k\xe9
+            c1 expect 400
             c1 send GET /look X-Expires-In-Ms=soon
             c1 expect 400
             c1 send GET /healthz
@@ -63,6 +68,36 @@
             box wait""")
 
 
+    def test_odd_bytes_in_a_box_s_content_type_come_back_as_they_are(self) -> None:
+        """Guards against an answer that could not be written, which ended the program."""
+        scenario("""
+            c1 send GET /look
+            box expect GET /look
+            box send 200 Content-Type=text/\xe9 | odd
+            c1 expect 200 | odd""")
+
+    def test_a_gathered_write_that_the_socket_takes_in_parts_stays_whole(self) -> None:
+        async def main() -> bytes:
+            with socket.create_server(("127.0.0.1", 0)) as door:
+                far = socket.create_connection(door.getsockname())
+                near, _ = door.accept()
+            far.setblocking(False)
+            near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            stream, got = Stream(near), bytearray()
+            left = stream.write_now([b"a" * 1_000_000, b"b" * 1_000_000])
+            self.assertGreater(sum(map(len, left)), 0)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stream.send, left)
+                reader = trio.SocketStream(trio.socket.from_stdlib_socket(far))
+                while len(got) < 2_000_000:
+                    got += await reader.receive_some()
+            await reader.aclose()
+            stream.close()
+            return bytes(got)
+
+        self.assertEqual(trio.run(main), b"a" * 1_000_000 + b"b" * 1_000_000)
+
+
 class Breaks(unittest.TestCase):
     def test_a_reset_after_the_last_byte_may_have_run(self) -> None:
         """A purchase is not refused then, and goes again only with its key, in the same cell."""
