Check the second front's file against a platform configuration; tighten its tests

Scenarios now fail if any client is left with an answer too many; new ones show that no token is logged and that idle connections retire before the box's time.

--- a/gorsefork/config.py
+++ b/gorsefork/config.py
@@ -9,7 +9,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from gorsefork.life.introspection_config import CLAIMS, PATH, BadFile, read
+from gorsefork.life.config import BadConfig, read_config
+from gorsefork.life.introspection_config import CLAIMS, PATH, BadFile, read, tenants_of
 
 
 def quoted(text: str) -> str:
@@ -75,6 +76,7 @@
     write.add_argument("--output", type=Path, default=PATH)
     check = commands.add_parser("check", help="check a file, and that its secret is at hand")
     check.add_argument("file", type=Path, nargs="?", default=PATH)
+    check.add_argument("--platform", metavar="CONFIG", help="a platform configuration that it has to fit")
     check.add_argument("--no-secret", action="store_true", help="on a machine that does not hold the secret")
     return parser
 
@@ -89,8 +91,10 @@
         else:
             text = given.file.read_text(encoding="utf-8")
             config = read(text, os.environ, secrets=not given.no_secret)
+            if config is not None and given.platform:
+                tenants_of(config, read_config({"PROXY_CONFIG": given.platform}).settings)
             print("off" if config is None else f"good: {config.application} on {config.listen}")
-    except (BadFile, OSError, UnicodeDecodeError) as error:
+    except (BadFile, BadConfig, OSError, UnicodeDecodeError) as error:
         print(f"gorsefork.config: {error}", file=sys.stderr)
         return 2
     return 0
--- a/gorsefork/life/introspection_config.py
+++ b/gorsefork/life/introspection_config.py
@@ -10,7 +10,9 @@
 from pathlib import Path
 from typing import Any
 
+from gorsefork.decisions import interface as i
 from gorsefork.wire.stream import address
+from gorsefork.wire.tokens import TableOfTenants, Tenant
 
 PATH = Path(__file__).parents[2] / "deploy" / "introspection.toml"
 CLAIMS = ("sub", "client_id", "username")
@@ -163,3 +165,18 @@
 
 def from_environment() -> IntrospectionConfig | None:
     return at_start(os.environ)
+
+
+def tenants_of(given: IntrospectionConfig, settings: i.Settings) -> TableOfTenants:
+    """The tenants of the file, checked against the plans and classes of this deployment."""
+    plans = {plan.name: number for number, plan in enumerate(settings.plans)}
+    for cls in given.scopes:
+        if cls not in {known.name for known in settings.classes}:
+            raise BadFile(f"scopes.{cls}: is no class of this deployment")
+    for name, entry in given.tenants.items():
+        if entry.plan not in plans:
+            raise BadFile(f"tenants.{name}.plan: is no plan of this deployment")
+        if entry.spread > settings.gatekeepers or entry.first >= settings.gatekeepers:
+            raise BadFile(f"tenants.{name}.spread: this deployment has {settings.gatekeepers} ingresses")
+    return TableOfTenants({name: Tenant(plans[e.plan], e.customer, e.spread, e.first)
+                           for name, e in given.tenants.items()})
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -12,7 +12,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import BadConfig, Config, read_config
-from gorsefork.life.introspection_config import BadFile, IntrospectionConfig, from_environment
+from gorsefork.life.introspection_config import BadFile, IntrospectionConfig, from_environment, tenants_of
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.deciding import Decider
 from gorsefork.memory.registry import Registry
@@ -24,7 +24,6 @@
 from gorsefork.wire.introspection import Gate, IntrospectionFront
 from gorsefork.wire.introspection_client import IntrospectionClient
 from gorsefork.wire.platform import PlatformFront
-from gorsefork.wire.tokens import TableOfTenants, Tenant
 
 CLIENT_SHARE, BOX_SHARE, SECOND_SHARE = 0.45, 0.3, 0.1  # of the descriptors; the rest is for all else
 DISCOVERY_PATIENCE = 0.3  # s at the start for discovery's first word; then the known list has to do
@@ -146,18 +145,3 @@
 
 async def serve(config: Config, clock: Clock, introspection: IntrospectionConfig | None) -> None:
     await Ingress(config, clock, introspection).run()
-
-
-def tenants_of(given: IntrospectionConfig, settings: i.Settings) -> TableOfTenants:
-    """The tenants of the file, checked against the plans and classes of this deployment."""
-    plans = {plan.name: number for number, plan in enumerate(settings.plans)}
-    for cls in given.scopes:
-        if cls not in {known.name for known in settings.classes}:
-            raise BadFile(f"scopes.{cls}: is no class of this deployment")
-    for name, entry in given.tenants.items():
-        if entry.plan not in plans:
-            raise BadFile(f"tenants.{name}.plan: is no plan of this deployment")
-        if entry.spread > settings.gatekeepers or entry.first >= settings.gatekeepers:
-            raise BadFile(f"tenants.{name}.spread: this deployment has {settings.gatekeepers} ingresses")
-    return TableOfTenants({name: Tenant(plans[e.plan], e.customer, e.spread, e.first)
-                           for name, e in given.tenants.items()})
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -104,15 +104,16 @@
 class World:
     """Ingresses on one core each, with a stand-in for all that they speak to."""
 
-    def __init__(self, ingresses: int) -> None:
+    def __init__(self, ingresses: int, keepalive: int) -> None:
         self.servers = {name: Server(name) for name in ("box", "oauth", "counter", "disco")}
         self.clients: dict[str, Wire] = {}
         self.clock = Clock()
-        self.ingresses = [self.ingress() for _ in range(ingresses)]
+        self.ingresses = [self.ingress(keepalive) for _ in range(ingresses)]
 
-    def ingress(self) -> Ingress:
+    def ingress(self, keepalive: int) -> Ingress:
+        settings = to_settings({**SETTINGS, "limits": {**SETTINGS["limits"], "keepalive": keepalive}})
         entry = {"host": "s-1", "dial": self.servers["box"].dial, "health": "active"}
-        config = Config("n0", "127.0.0.1:0", self.servers["disco"].dial, 1, to_settings(SETTINGS), (), (),
+        config = Config("n0", "127.0.0.1:0", self.servers["disco"].dial, 1, settings, (), (),
                         {"seq": 1, "whole": True, "hosts": [entry]}, self.servers["counter"].dial)
         second = IntrospectionConfig(
             "guide-app", "127.0.0.1:0", self.servers["oauth"].dial, "/introspect", "me", "s3cret", 300, 250,
@@ -164,6 +165,12 @@
     async def close_client(self, who: str, rest: str) -> None:
         await self.clients.pop(who).stream.aclose()
 
+    async def only_one_answer_each(self) -> None:
+        for who, wire in self.clients.items():
+            with trio.move_on_after(0.01):
+                wire.buffer += await wire.stream.receive_some()
+            assert not wire.buffer, f"{who} has an answer too many: {wire.buffer!r}"
+
     async def wait_client(self, who: str, rest: str) -> None:
         assert await self.clients.pop(who).message() is None, "another answer"
 
@@ -214,11 +221,12 @@
                 answered += 1
 
 
-def scenario(script: str, ingresses: int = 1, then: Callable[[World], Awaitable[None]] | None = None) -> None:
+def scenario(script: str, ingresses: int = 1, then: Callable[[World], Awaitable[None]] | None = None,
+             keepalive: int = 15_000 * MS) -> None:
     """Play a script; what still runs at its end is cancelled."""
 
     async def main() -> None:
-        world = World(ingresses)
+        world = World(ingresses, keepalive)
         trio.lowlevel.add_instrument(world.clock)
         async with trio.open_nursery() as nursery:
             for server in world.servers.values():
@@ -231,6 +239,7 @@
             await world.play(script)
             if then is not None:
                 await then(world)
+            await world.only_one_answer_each()
             nursery.cancel_scope.cancel()
 
     trio.run(main)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 import unittest
 
 import trio
@@ -167,6 +168,17 @@
             c1 expect 200 | three""")
 
 
+    def test_an_idle_connection_is_closed_well_before_the_box_would(self) -> None:
+        began = time.monotonic()
+        scenario("""
+            c1 send GET /look
+            box expect GET /look
+            box send 200 | one
+            c1 expect 200
+            box wait""", keepalive=1_000_000_000)
+        self.assertLess(time.monotonic() - began, 1.0)
+
+
 class Drain(unittest.TestCase):
     def test_a_drain_answers_what_was_taken_and_closes_the_rest(self) -> None:
         async def drain(world: World) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -40,6 +40,12 @@
         self.assertEqual(config.tenants["m-1"].spread, 2)
         self.assertNotIn("s3cret", repr(config))
 
+    def test_a_file_is_checked_against_the_platform_s_configuration(self) -> None:
+        platform = str(Path(__file__).parents[1] / "examples" / "config.json")
+        self.run_tool(*WORDS, "--output", str(self.path))
+        code, text = self.run_tool("check", "--no-secret", "--platform", platform, str(self.path))
+        self.assertEqual((code, "tenants.m-1.plan" in text), (2, True), text)
+
     def test_a_secret_that_is_not_at_hand_is_found(self) -> None:
         self.run_tool(*WORDS, "--output", str(self.path))
         code, text = self.run_tool("check", str(self.path))
--- a/tests/test_introspection.py
+++ b/tests/test_introspection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import unittest
 
 from scenario import scenario
@@ -73,6 +75,22 @@
             c1 expect 401 WWW-Authenticate""")
 
 
+class Secrets(unittest.TestCase):
+    def test_neither_token_nor_secret_is_logged(self) -> None:
+        with contextlib.redirect_stderr(io.StringIO()) as log:
+            scenario("""
+                c1 send GET /look token=very.secret
+                oauth expect POST /introspect token=very.secret
+                oauth send 200 Content-Type=application/json | very.secret
+                c1 expect 503
+                c1 send GET /look token=very.secret
+                oauth expect POST /introspect
+                oauth send 401
+                c1 expect 503""")
+        self.assertIn("introspection: ", log.getvalue())
+        self.assertNotIn("secret", log.getvalue())
+
+
 class Trouble(unittest.TestCase):
     def test_a_stalled_server_costs_its_time_out_and_no_more(self) -> None:
         scenario(f"""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,8 +13,7 @@
 from pathlib import Path
 
 from gorsefork.life.config import read_config
-from gorsefork.life.introspection_config import at_start
-from gorsefork.life.start import tenants_of
+from gorsefork.life.introspection_config import at_start, tenants_of
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 
