Look tenants up in an LDAP directory, where one is configured

Behind the same small interface as the file's table. ldap3 waits, so each lookup runs in one of a bounded set of threads, under the call's deadline; it is loaded only where a directory is configured (the platform's memory is unchanged). Unknown tenants get 403; a directory that is silent, refuses or holds nonsense gets 503 (fail closed). The file's addresses must be on loopback now: tokens and secrets cross those connections unencrypted.

--- a/gorsefork/config.py
+++ b/gorsefork/config.py
@@ -50,6 +50,9 @@
         lines += ["", f"[tenants.{quoted(name)}]"]
         lines += [f"plan = {quoted(parts[0])}", f"customer = {quoted(parts[1])}"]
         lines += [f"{key} = {value}" for key, value in zip(("spread", "first"), parts[2:], strict=False)]
+    if given.directory:
+        lines += ["", "[directory]"]
+        lines += [f"{key} = {quoted(value)}" for key, value in given.directory]
     return "\n".join(lines) + "\n"
 
 
@@ -73,6 +76,9 @@
     write.add_argument("--scope", type=pair, action="append", default=[], metavar="CLASS=SCOPE")
     write.add_argument("--tenant", type=tenant, action="append", default=[],
                        metavar="NAME=PLAN,CUSTOMER[,SPREAD,FIRST]")
+    write.add_argument("--directory", type=pair, action="append", default=[], metavar="KEY=VALUE",
+                       help="look tenants up by LDAP: address, bind_dn, password_env or password_file, base, "
+                            "plan_attribute, customer_attribute, and name_, spread_ or first_attribute")
     write.add_argument("--output", type=Path, default=PATH)
     check = commands.add_parser("check", help="check a file, and that its secret is at hand")
     check.add_argument("file", type=Path, nargs="?", default=PATH)
@@ -92,7 +98,7 @@
             text = given.file.read_text(encoding="utf-8")
             config = read(text, os.environ, secrets=not given.no_secret)
             if config is not None and given.platform:
-                tenants_of(config, read_config({"PROXY_CONFIG": given.platform}).settings)
+                tenants_of(config, read_config({"PROXY_CONFIG": given.platform}).settings, print)
             print("off" if config is None else f"good: {config.application} on {config.listen}")
     except (BadFile, BadConfig, OSError, UnicodeDecodeError) as error:
         print(f"gorsefork.config: {error}", file=sys.stderr)
--- a/gorsefork/life/introspection_config.py
+++ b/gorsefork/life/introspection_config.py
@@ -5,14 +5,15 @@
 import os
 import re
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
 from gorsefork.decisions import interface as i
 from gorsefork.wire.stream import address
-from gorsefork.wire.tokens import TableOfTenants, Tenant
+from gorsefork.wire.tokens import Directory, TableOfTenants, Tenant, Tenants
 
 PATH = Path(__file__).parents[2] / "deploy" / "introspection.toml"
 CLAIMS = ("sub", "client_id", "username")
@@ -46,6 +47,7 @@
     audience: str
     scopes: Mapping[str, str]
     tenants: Mapping[str, TenantEntry]
+    directory: Directory | None = None
 
 
 class Table:
@@ -98,13 +100,16 @@
     if not top.flag("enabled", False):
         return None
     server, scopes, tenants = top.table("server"), top.table("scopes"), top.table("tenants")
+    looked_up = directory(top.table("directory"), env, secrets) if "directory" in top.raw else None
+    if looked_up is not None and tenants.raw:
+        raise BadFile("directory: name tenants here or in a directory, not both")
     config = IntrospectionConfig(
         application=top.text("application", NAME),
         listen=port(top, "listen"),
         address=port(server, "address"),
         path=server.text("path", TARGET, "/introspect"),
         client_id=server.text("client_id", r"[ -~]+"),
-        client_secret=secret(server, env, secrets),
+        client_secret=secret(server, "client_secret", env, secrets),
         timeout_ms=server.whole("timeout_ms", 10, MOST_TIMEOUT_MS, 400),
         max_age_ms=server.whole("max_age_ms", 0, 1500, 250),
         most_in_flight=server.whole("most_in_flight", 1, 200, 32),
@@ -112,6 +117,7 @@
         audience=server.text("audience", r"[ -~]*", ""),
         scopes={cls: scopes.text(cls, SCOPE) for cls in list(scopes.raw)},
         tenants={name: tenant(tenants.table(name)) for name in list(tenants.raw)},
+        directory=looked_up,
     )
     for table in (server, scopes, tenants, top):
         table.done()
@@ -119,28 +125,44 @@
 
 
 def port(table: Table, key: str) -> str:
+    """Tokens and secrets cross these connections in the clear, so they must not leave the machine."""
     value = table.text(key, HOST_PORT)
     try:
-        address(value)
+        host, _ = address(value)
     except ValueError:
         raise BadFile(f"{table.key(key)}: must be an IP address and a port") from None
+    if not ip_address(host).is_loopback:
+        raise BadFile(f"{table.key(key)}: must be on loopback, for nothing here is encrypted")
     return value
 
 
-def secret(server: Table, env: Mapping[str, str], needed: bool) -> str:
+def directory(table: Table, env: Mapping[str, str], secrets: bool) -> Directory:
+    attribute = r"[A-Za-z][A-Za-z0-9-]*"
+    given = Directory(
+        port(table, "address"), table.text("bind_dn", r"[ -~]+"), secret(table, "password", env, secrets),
+        table.text("base", r".+"), table.whole("timeout_ms", 10, MOST_TIMEOUT_MS, 300),
+        table.whole("most_in_flight", 1, 32, 8), table.text("name_attribute", attribute, "cn"),
+        table.text("plan_attribute", attribute), table.text("customer_attribute", attribute),
+        table.text("spread_attribute", attribute + "|", ""),
+        table.text("first_attribute", attribute + "|", ""))
+    table.done()
+    return given
+
+
+def secret(table: Table, key: str, env: Mapping[str, str], needed: bool) -> str:
     """The secret stays out of the file: it is named by a variable or by a file of its own."""
-    variable = server.text("client_secret_env", r"[A-Za-z_][A-Za-z0-9_]*|", "")
-    path = server.text("client_secret_file", r"[ -~]*", "")
+    variable = table.text(f"{key}_env", r"[A-Za-z_][A-Za-z0-9_]*|", "")
+    path, name = table.text(f"{key}_file", r"[ -~]*", ""), table.key(key)
     if bool(variable) == bool(path):
-        raise BadFile("server.client_secret_env: name either this or server.client_secret_file")
+        raise BadFile(f"{name}_env: name either this or {name}_file")
     if not needed:
         return ""
     try:
         value = env.get(variable, "") if variable else Path(path).read_text(encoding="utf-8").strip()
     except OSError as error:
-        raise BadFile(f"server.client_secret_file: {error.strerror}") from None
+        raise BadFile(f"{name}_file: {error.strerror}") from None
     if not value:
-        raise BadFile(f"server.client_secret_{'env' if variable else 'file'}: holds nothing")
+        raise BadFile(f"{name}_{'env' if variable else 'file'}: holds nothing")
     return value
 
 
@@ -167,12 +189,18 @@
     return at_start(os.environ)
 
 
-def tenants_of(given: IntrospectionConfig, settings: i.Settings) -> TableOfTenants:
-    """The tenants of the file, checked against the plans and classes of this deployment."""
+def tenants_of(given: IntrospectionConfig, settings: i.Settings, log: Callable[[str], None]) -> Tenants:
+    """The tenants of the file, checked against the plans and classes of this deployment, or its directory."""
     plans = {plan.name: number for number, plan in enumerate(settings.plans)}
     for cls in given.scopes:
         if cls not in {known.name for known in settings.classes}:
             raise BadFile(f"scopes.{cls}: is no class of this deployment")
+    if given.directory is not None:
+        from gorsefork.wire.directory import (
+            DirectoryTenants,  # its library costs memory: only where it is used
+        )
+
+        return DirectoryTenants(given.directory, plans, settings.gatekeepers, log)
     for name, entry in given.tenants.items():
         if entry.plan not in plans:
             raise BadFile(f"tenants.{name}.plan: is no plan of this deployment")
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -81,7 +81,7 @@
         client = IntrospectionClient(given.address, given.path, given.client_id, given.client_secret,
                                      given.timeout_ms / 1000, given.most_in_flight, self.clock, log)
         front = IntrospectionFront(
-            settings, Gate(client, given.scopes, given.audience), tenants_of(given, settings),
+            settings, Gate(client, given.scopes, given.audience), tenants_of(given, settings, log),
             given.tenant_claim, given.max_age_ms, self.clock, self.decider.take, self.decider.gone,
             self.ready.is_set)
         acceptor = Acceptor(given.listen, front, self.clock, int(sockets * SECOND_SHARE))
--- a/gorsefork/wire/introspection.py
+++ b/gorsefork/wire/introspection.py
@@ -18,7 +18,7 @@
 from gorsefork.wire.acceptor import Exchange
 from gorsefork.wire.introspection_client import IntrospectionClient, Unavailable
 from gorsefork.wire.platform import TRACE, BadCall, CallReader, metering, units_of, whole
-from gorsefork.wire.tokens import BadToken, Claims, NoToken, Tenant, Tenants, bearer
+from gorsefork.wire.tokens import BadToken, Claims, NoToken, Tenant, Tenants, TenantsUnavailable, bearer
 
 IDS = itertools.count(1)
 RETRY_AFTER = 1.0  # s: what a client is advised while the server cannot be asked
@@ -153,7 +153,12 @@
             if isinstance(verdict, Denied):
                 exchange.reply(verdict)
                 return
-            tenant = await self.tenants.lookup(verdict.names.get(self.claim, ""))
+            left = (order.ends_at - self.clock.now) / SECOND
+            try:
+                tenant = await self.tenants.lookup(verdict.names.get(self.claim, ""), left)
+            except TenantsUnavailable:
+                exchange.reply(UNAVAILABLE)
+                return
             self.admitted(exchange, order, verdict, tenant, began)
 
     def admitted(self, exchange: Exchange, order: Order, claims: Claims, tenant: Tenant | None,
--- a/gorsefork/wire/tokens.py
+++ b/gorsefork/wire/tokens.py
@@ -5,7 +5,7 @@
 import json
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 BEARER = re.compile(r"bearer +([A-Za-z0-9._~+/-]+=*)", re.IGNORECASE)
@@ -84,10 +84,31 @@
     first: int
 
 
+class TenantsUnavailable(Exception):
+    """Whose a token is cannot be told just now."""
+
+
 class Tenants(Protocol):
-    """Where tenants are looked up: a table today, a directory some day."""
+    """Where tenants are looked up. None: there is no such tenant. ``TenantsUnavailable``: not to be told."""
+
+    async def lookup(self, name: str, within: float) -> Tenant | None: ...
 
-    async def lookup(self, name: str) -> Tenant | None: ...
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """Where the directory is, and which attributes tell a tenant's name, plan, customer and ingresses."""
+
+    address: str
+    bind_dn: str
+    password: str = field(repr=False)
+    base: str
+    timeout_ms: int
+    most_in_flight: int
+    name_attribute: str
+    plan_attribute: str
+    customer_attribute: str
+    spread_attribute: str
+    first_attribute: str
 
 
 class TableOfTenants:
@@ -96,5 +117,5 @@
     def __init__(self, table: Mapping[str, Tenant]) -> None:
         self.table = table
 
-    async def lookup(self, name: str) -> Tenant | None:
+    async def lookup(self, name: str, within: float) -> Tenant | None:
         return self.table.get(name)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -30,6 +30,8 @@
 from gorsefork.life.start import Ingress
 from gorsefork.memory.clock import Clock
 from gorsefork.settings import to_settings
+from gorsefork.wire.introspection import IntrospectionFront
+from gorsefork.wire.tokens import Tenants
 
 MS = 1_000_000
 CUSTOMER = "00000000b4d65521"
@@ -222,11 +224,15 @@
 
 
 def scenario(script: str, ingresses: int = 1, then: Callable[[World], Awaitable[None]] | None = None,
-             keepalive: int = 15_000 * MS) -> None:
+             keepalive: int = 15_000 * MS, tenants: Tenants | None = None) -> None:
     """Play a script; what still runs at its end is cancelled."""
 
     async def main() -> None:
         world = World(ingresses, keepalive)
+        for ingress in world.ingresses if tenants is not None else ():
+            front = ingress.acceptors[1].front
+            assert isinstance(front, IntrospectionFront) and tenants is not None
+            front.tenants = tenants
         trio.lowlevel.add_instrument(world.clock)
         async with trio.open_nursery() as nursery:
             for server in world.servers.values():
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -46,6 +46,20 @@
         code, text = self.run_tool("check", "--no-secret", "--platform", platform, str(self.path))
         self.assertEqual((code, "tenants.m-1.plan" in text), (2, True), text)
 
+    def test_tenants_in_a_directory(self) -> None:
+        keys = ("address=127.0.0.1:389", "bind_dn=cn=gorsefork", "password_env=SECRET", "base=ou=t,dc=example",
+                "plan_attribute=plan", "customer_attribute=customer")
+        words = [*WORDS[:-2], *(word for key in keys for word in ("--directory", key))]
+        self.assertEqual(self.run_tool(*words, "--output", str(self.path)), (0, ""))
+        config = read(self.path.read_text(), {"SECRET": "s3cret"})
+        assert config is not None and config.directory is not None
+        self.assertEqual(config.directory.base, "ou=t,dc=example")
+        self.assertNotIn("s3cret", repr(config))
+        for old, new, key in (("127.0.0.1:389", "192.0.2.1:389", "directory.address"),
+                              ('password_env = "SECRET"', "", "directory.password_env")):
+            with self.subTest(key), self.assertRaisesRegex(BadFile, f"^{key}: "):
+                read(self.path.read_text().replace(old, new), {"SECRET": "x"})
+
     def test_a_secret_that_is_not_at_hand_is_found(self) -> None:
         self.run_tool(*WORDS, "--output", str(self.path))
         code, text = self.run_tool("check", str(self.path))
@@ -60,6 +74,7 @@
                 ("max_age_ms", "max_agems", "server.max_agems"),
                 ('listen = "127.0.0.1:8081"', "", "listen"),
                 ("127.0.0.1:9000", "127.0.0.1:99000", "server.address"),
+                ("127.0.0.1:9000", "192.0.2.7:9000", "server.address"),
                 ('customer = "00000000b4d65521"', 'customer = "me"', "tenants.m-1.customer"),
                 ("tour.buy", "tour buy", "scopes.tour-purchase"),
                 ("enabled = true", "enabled = 1", "enabled"),
--- a/tests/test_introspection.py
+++ b/tests/test_introspection.py
@@ -8,6 +8,8 @@
 
 from scenario import scenario
 
+from gorsefork.wire.tokens import Tenant, TenantsUnavailable
+
 BUY = "POST /buy token=t1 Idempotency-Key=k1"
 JSON = "200 Content-Type=application/json |"
 GOOD = f'oauth send {JSON} {{"active":true,"scope":"a tour.buy","client_id":"museum"}}'
@@ -52,6 +54,18 @@
             c1 expect 403
             box wait idle""")
 
+    def test_a_directory_of_tenants_that_is_down(self) -> None:
+        class Down:
+            async def lookup(self, name: str, within: float) -> Tenant | None:
+                raise TenantsUnavailable
+
+        scenario(f"""
+            c1 send {BUY}
+            oauth expect POST /introspect
+            {GOOD}
+            c1 expect 503 Retry-After
+            box wait idle""", tenants=Down())
+
     def test_every_doubt_fails_closed(self) -> None:
         museum = '"client_id":"museum"'
         doubts = (f"{JSON} not json", f'200 Content-Type=text/plain | {{"active":true,{museum}}}',
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,6 +14,7 @@
 
 from gorsefork.life.config import read_config
 from gorsefork.life.introspection_config import at_start, tenants_of
+from gorsefork.wire.tokens import TableOfTenants
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 
@@ -60,7 +61,9 @@
         path = str(EXAMPLES / "introspection.toml")
         second = at_start({"GORSEFORK_INTROSPECTION": path, "TOY_SECRET": "toy"})
         assert second is not None
-        self.assertEqual(tenants_of(second, config.settings).table["museum-1"].plan, 0)
+        tenants = tenants_of(second, config.settings, print)
+        assert isinstance(tenants, TableOfTenants)
+        self.assertEqual(tenants.table["museum-1"].plan, 0)
 
 
 if __name__ == "__main__":
