Drop the timers of calls that are over instead of waking for them

Each call sets a deadline, a hold and a patience timer; nearly all outlive the call and woke the actor only for the module to ignore them. SetTimer now names its request, and the heap drops what is for a call no longer open.

--- a/gorsefork/decisions/interface.py
+++ b/gorsefork/decisions/interface.py
@@ -266,10 +266,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Ask for a ``Timer`` event after ``delay``."""
+    """Ask for a ``Timer`` event after ``delay``. ``request``: once that is over the host may drop it."""
 
     token: str
     delay: float
+    request: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -594,8 +594,9 @@
         ticket = Ticket(request, cls, plan, account, lane, self.now + request.left, self.now + wanted,
                         self.now + max(0.0, hold), -cls.worth * plan.price)
         self.tickets[request.id] = ticket
-        self.out.append(i.SetTimer(f"d:{request.id}", max(0.0, request.left - self.settings.step)))
-        self.out.append(i.SetTimer(f"h:{request.id}", max(0.0, hold)))
+        due = max(0.0, request.left - self.settings.step)
+        self.out.append(i.SetTimer(f"d:{request.id}", due, request.id))
+        self.out.append(i.SetTimer(f"h:{request.id}", max(0.0, hold), request.id))
         if not self.quota.ask(ticket):
             self.seek(ticket)
 
@@ -655,7 +656,7 @@
         self.budget = min(RETRY_DEPTH, self.budget + RETRY_SHARE * (number == 0))
         self.out.append(i.Send(request.id, server.entry.server))
         if may_repeat(ticket.cls) and not ticket.cls.stream:
-            self.out.append(i.SetTimer(f"p:{number}:{request.id}", expected + 4.0 * deviation))
+            self.out.append(i.SetTimer(f"p:{number}:{request.id}", expected + 4.0 * deviation, request.id))
 
     def overdue(self, ticket: Ticket, number: int) -> None:
         """Off slow, silent or leaving servers: a second copy, or a move. Under pressure only off suspects."""
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -29,8 +29,8 @@
     def __init__(self, settings: i.Settings, seed: int, clock: Clock, log: Callable[[str], None]) -> None:
         self.gate, self.clock, self.log, self.settings = Gatekeeper(settings, seed), clock, log, settings
         self.mailbox: Mailbox[i.Event] = Mailbox(MOST_LETTERS)
-        self.timers = Timers()
         self.calls: dict[str, Call] = {}
+        self.timers = Timers(self.calls)
         self.boxes: Boxes
         self.counter: Counter
         self.peers: Peers
@@ -131,7 +131,8 @@
         self.calls[action.id].finish(Failed())
 
     def set_timer(self, action: i.SetTimer) -> None:
-        self.timers.set(self.clock.now + max(0, round(action.delay * SECOND)), action.token)
+        self.timers.set(self.clock.now + max(0, round(action.delay * SECOND)), action.token,
+                        action.request)
 
     def count(self, action: i.Count) -> None:
         self.counter.add(action.name, action.amount, round(action.ttl * SECOND))
