--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
+import trio
+
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import Gatekeeper
 from gorsefork.memory.call import Call, Failed, Overload, Served
@@ -84,8 +86,14 @@
 
     async def run(self) -> None:
         while True:
-            due = self.timers.next_due()
-            await self.mailbox.wait(math.inf if due is None else self.clock.trio_deadline(due))
+            with trio.CancelScope() as scope:  # serves turn after turn, until a timer ends it
+                armed = None
+                while True:
+                    if (due := self.timers.next_due()) != armed:
+                        armed = due
+                        scope.deadline = math.inf if due is None else self.clock.trio_deadline(due)
+                    await self.mailbox.wait(math.inf)
+                    self.turn()
             self.turn()
 
     def turn(self) -> None:
