--- a/gorsefork/memory/clock.py
+++ b/gorsefork/memory/clock.py
@@ -21,6 +21,7 @@
         # Monotonic clocks of two machines share no origin, and counts are named by the span that the module
         # reckons from its time: so the module is given Unix time, by an offset that is fixed at the start.
         self.unix_offset = time.time_ns() // 1000 - self.now
+        self.trio_offset: float | None = None  # both clocks count the same seconds, from different origins
 
     def after_io_wait(self, timeout: float) -> None:
         self.now = monotonic_us()
@@ -34,4 +35,6 @@
 
     def trio_deadline(self, at: int) -> float:
         """A time of this clock on trio's own, for a cancel scope."""
-        return trio.current_time() + (at - monotonic_us()) / SECOND
+        if self.trio_offset is None:
+            self.trio_offset = trio.current_time() - monotonic_us() / SECOND
+        return at / SECOND + self.trio_offset
