Guard the acceptor against a connection that breaks while it is taken in

Setting options on a socket that was reset in the backlog may fail; that stood outside the acceptor's guard (lines of accept_ready). A scenario resets five connections before they are accepted and is served after.

--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -279,12 +279,12 @@
             if len(self.connections) >= self.most and not self.evict():
                 return False
             try:
-                sock, _ = self.sock.accept()
+                stream = Stream(self.sock.accept()[0])
             except BlockingIOError:
                 return True
             except OSError:
-                return False  # aborted on its way, or no descriptor is left: the backlog keeps the rest
-            connection = ClientConnection(Stream(sock), self)
+                return False  # broken on its way, or no descriptor is left: the backlog keeps the rest
+            connection = ClientConnection(stream, self)
             self.connections.add(connection)
             self.idle[connection] = None
             if self.closing:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import time
 import unittest
 
@@ -55,6 +56,17 @@
         bare = "X-Trace-Id= X-Contract= X-Client-Id= X-Expires-In-Ms= X-Metering="
         scenario(f"c1 send again 400 GET /healthz {bare}\n" + "c1 expect 200\n" * 400)
 
+    def test_connections_that_break_before_they_are_accepted_harm_nobody(self) -> None:
+        async def then(world: World) -> None:
+            for _ in range(5):
+                sock = socket.create_connection(("127.0.0.1", world.ingresses[0].acceptors[0].port))
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+            await world.play("c1 send GET /healthz")
+            await world.play("c1 expect 200")
+
+        scenario("", then=then)
+
     def test_a_client_that_leaves_ends_its_delegation(self) -> None:
         scenario("""
             c1 send GET /look
