Read the configuration anew on SIGHUP; refuse requests with two lengths

Now SIGHUP checks the new file whole and moves discovery (asked at once, for the whole list) and the counter (what the old address owes is still awaited there). Both headers together get 400 and a close.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -6,7 +6,8 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Mapping
+from dataclasses import fields, replace
 
 import trio
 
@@ -54,8 +55,9 @@
     """One ingress, all parts of it, from its configuration."""
 
     def __init__(self, config: Config, clock: Clock, introspection: IntrospectionConfig | None) -> None:
+        self.config = config
         settings, sockets = config.settings, config.sockets
-        self.clock, self.ready = clock, trio.Event()
+        self.clock, self.ready, self.ending = clock, trio.Event(), trio.Event()
         self.decider = Decider(settings, config.seed, clock, log)
         self.decider.sites += config.sites
         self.decider.kinds += config.kinds
@@ -90,13 +92,40 @@
 
     async def run(self) -> None:
         """Until SIGTERM, and then until the drain is over."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.run_parts)
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                async for _ in signals:
-                    break
-            await self.drain()
-            nursery.cancel_scope.cancel()
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.run_parts)
+                nursery.start_soon(self.heed, signals)
+                await self.ending.wait()
+                await self.drain()
+                nursery.cancel_scope.cancel()
+
+    async def heed(self, signals: AsyncIterator[int]) -> None:
+        """Also during the drain: trio raises the signals that nobody took once more when all has ended."""
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self.reload(os.environ)
+            else:
+                self.ending.set()
+
+    def reload(self, env: Mapping[str, str]) -> None:
+        """The new file holds as a whole or not at all. What is open stays open, whatever it says."""
+        try:
+            new = read_config(env)
+            read_list(new.known, self.clock, cached=True)
+        except (BadConfig, BadList) as error:
+            log(f"gorsefork: kept the old configuration: {error}")
+            return
+        old, here = self.config, {"known", "seed", "discovery"}
+        if new.discovery != old.discovery:
+            self.watch.move(new.discovery)
+        if self.counter is not None and new.counter:
+            here.add("counter")
+            if new.counter != old.counter:
+                self.counter.move(new.counter)
+        self.config = replace(old, **{key: getattr(new, key) for key in here})
+        rest = [f.name for f in fields(new) if getattr(new, f.name) != getattr(self.config, f.name)]
+        log(f"gorsefork: read the configuration anew; waits for a restart: {', '.join(rest) or 'nothing'}")
 
     async def run_parts(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -134,6 +163,7 @@
 
 
 def main() -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # outside of ``run`` it is to end nothing either
     try:
         config = read_config(os.environ)
         clock = Clock()
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -126,6 +126,10 @@
                 for name, value in event.headers:  # what stands twice is joined, as its readers expect
                     seen = headers.get(bytes(name))
                     headers[bytes(name)] = bytes(value) if seen is None else seen + b", " + bytes(value)
+                # Guards against a request hidden in the body of another: two lengths are one too many.
+                if b"content-length" in headers and b"transfer-encoding" in headers:
+                    self.reject(400)
+                    return
                 self.exchange = exchange = Exchange(
                     event.method.decode("ascii"), event.target.decode("latin-1"), headers,
                     self.acceptor.clock.now, lambda answer: None)
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -49,22 +49,33 @@
         self.dial, self.registry, self.clock, self.version = dial, registry, clock, version
         self.whole_next = True
         self.answered = trio.Event()
+        self.asking = trio.CancelScope()
 
     def fetch(self) -> None:
         """The module asks for the whole list: the next call brings it."""
         self.whole_next = True
 
+    def move(self, dial: str) -> None:
+        """A new address: it is asked at once, and for the whole list, as it may count versions anew."""
+        self.dial, self.whole_next = dial, True
+        self.asking.cancel()
+
     async def run(self) -> None:
         while True:
-            stream = await connect(self.dial, CONNECT_WITHIN)
-            if stream is not None:
-                try:
-                    await self.keep_asking(stream)
-                except (OSError, h11.ProtocolError, BadList, trio.TooSlowError):
-                    pass
-                finally:
-                    stream.close()
-            await trio.sleep(PAUSE)
+            with trio.CancelScope() as self.asking:
+                await self.ask_there()
+                await trio.sleep(PAUSE)
+
+    async def ask_there(self) -> None:
+        stream = await connect(self.dial, CONNECT_WITHIN)
+        if stream is None:
+            return
+        try:
+            await self.keep_asking(stream)
+        except (OSError, h11.ProtocolError, BadList, trio.TooSlowError):
+            pass
+        finally:
+            stream.close()
 
     async def keep_asking(self, stream: Stream) -> None:
         http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_BYTES)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,10 +8,12 @@
     box send 200 [Name=value] [| body]     the answer to it; or: box send raw TEXT
     c1 send again 500 GET /nothing         so many requests in one go, before any answer
     c1 expect 503 Retry-After [| body]     the answer, with these headers
-    disco send 200 | {... $box ...}        $box stands for the tour box's address
+    disco send 200 | {... $box ...}        $box stands for that server's address
     c1 close / box close                   close, or as a server reset, the connection last used
     c1 wait / box wait                     until the ingress closes that connection
     box wait idle                          no request is waiting there
+    c1 send raw TEXT                       bytes as they stand
+    n1 send SIGHUP discovery=$disco2       the first ingress reads a file with these values (or: raw TEXT)
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 import re
 import socket
 import struct
+import tempfile
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -34,6 +37,7 @@
 from gorsefork.wire.tokens import Tenants
 
 MS = 1_000_000
+SERVERS = ("box", "box2", "oauth", "counter", "counter2", "disco", "disco2")
 CUSTOMER = "00000000b4d65521"
 DEFAULTS = {"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Contract": "rated", "X-Client-Id": CUSTOMER,
             "X-Expires-In-Ms": "3000", "X-Metering": "units=1,spread=1,first=0", "Host": "service.internal"}
@@ -107,7 +111,7 @@
     """Ingresses on one core each, with a stand-in for all that they speak to."""
 
     def __init__(self, ingresses: int, keepalive: int) -> None:
-        self.servers = {name: Server(name) for name in ("box", "oauth", "counter", "disco")}
+        self.servers = {name: Server(name) for name in SERVERS}
         self.clients: dict[str, Wire] = {}
         self.clock = Clock()
         self.ingresses = [self.ingress(keepalive) for _ in range(ingresses)]
@@ -124,7 +128,8 @@
 
     async def play(self, script: str) -> None:
         for line in filter(None, map(str.strip, script.splitlines())):
-            who, verb, rest = [*line.replace("$box", self.servers["box"].dial).split(" ", 2), ""][:3]
+            line = re.sub(r"\$(\w+)", lambda name: self.servers[name[1]].dial, line)
+            who, verb, rest = [*line.split(" ", 2), ""][:3]
             step: Callable[[str, str], Awaitable[None]] = getattr(self, f"{verb}_{self.side(who)}")
             try:
                 with trio.fail_after(5):
@@ -133,7 +138,18 @@
                 raise AssertionError(f"at {line!r}: {error!r}") from None
 
     def side(self, who: str) -> str:
-        return "server" if who in self.servers else "client"
+        return "server" if who in self.servers else "client" if who.startswith("c") else "ingress"
+
+    async def send_ingress(self, who: str, rest: str) -> None:
+        ingress = self.ingresses[int(who[1:]) - 1]
+        _, kind, *words = rest.split(" ")
+        with tempfile.NamedTemporaryFile("w") as file:
+            values = dict(word.split("=", 1) for word in (kind, *words) if "=" in word)
+            old = {key: getattr(ingress.config, key) for key in ("name", "listen", "discovery", "counter")}
+            raw = {**old, "seed": "1", "settings": SETTINGS, **values}
+            file.write(" ".join(words) if kind == "raw" else json.dumps(raw))
+            file.flush()
+            ingress.reload({"PROXY_CONFIG": file.name})
 
     async def send_client(self, who: str, rest: str) -> None:
         """A token goes to the second front; ``at=1`` to the second ingress."""
@@ -142,6 +158,8 @@
         if head.startswith("again "):
             _, count, head = head.split(" ", 2)
             times = int(count)
+        if head.startswith("raw "):
+            return await self.raw_client(who, rest[4:].replace("\\n", "\r\n").encode("latin-1"))
         method, target, *words = head.split(" ")
         given = dict(word.split("=", 1) for word in words if "=" in word)
         ingress = self.ingresses[int(given.pop("at", 0))]
@@ -155,6 +173,12 @@
         lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items() if v), "", body]
         await self.clients[who].stream.send_all("\r\n".join(lines).encode("latin-1") * times)
 
+    async def raw_client(self, who: str, data: bytes) -> None:
+        if who not in self.clients:
+            port = self.ingresses[0].acceptors[0].port
+            self.clients[who] = Wire(socket.create_connection(("127.0.0.1", port)))
+        await self.clients[who].stream.send_all(data)
+
     async def expect_client(self, who: str, rest: str) -> None:
         head, _, body = rest.partition(" | ")
         status, *names = head.split()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -51,6 +51,14 @@
             c3 expect 400
             box wait idle""")
 
+    def test_a_request_with_two_lengths_and_the_one_inside_it_go_nowhere(self) -> None:
+        scenario("""
+            c1 send raw POST /buy HTTP/1.1\\nContent-Length: 4\\nTransfer-Encoding: chunked\\n\\n
+            c1 send raw 0\\n\\nGET /look
+            c1 expect 400 Connection
+            c1 wait
+            box wait idle""")
+
     def test_many_requests_in_one_go_are_answered_in_turn(self) -> None:
         """Guards against one answer's end beginning the next within itself, too deep for Python's stack."""
         bare = "X-Trace-Id= X-Contract= X-Client-Id= X-Expires-In-Ms= X-Metering="
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -73,7 +73,7 @@
             self.assertEqual(statuses.count("timeout"), MOST_OUT)
             wire, _ = await server.get.receive()
             await wire.ended.wait()  # silence ends the connection, and with it the line
-            self.assertEqual((len(client.line), client.stream), (0, None))
+            self.assertEqual((client.out(), client.session), (0, None))
 
         counting(step)
 
@@ -93,6 +93,66 @@
         counting(step)
 
 
+    def test_an_answer_that_is_no_number_means_added_and_ends_its_connection(self) -> None:
+        """What follows it can't be told from its own bytes: the next call goes on another connection."""
+        async def step(client: CounterClient, server: Server,
+                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+            for number, spoilt in enumerate((b"nan", b"1_0", b"?!\x00")):
+                client.add("a", 1.0, 1_000_000)
+                wire, _ = await server.get.receive()
+                await wire.stream.send_all(b"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\n" + spoilt)
+                self.assertEqual((await heard(number + 1))[-1].status, "timeout")
+                await wire.ended.wait()
+
+        counting(step)
+
+    def test_a_move_waits_for_what_the_old_address_owes_and_asks_the_new_one(self) -> None:
+        async def step(client: CounterClient, server: Server,
+                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+            client.add("a", 1.0, 1_000_000)
+            wire, _ = await server.get.receive()
+            new = Server("new")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(new.run)
+                client.move(new.dial)
+                client.add("b", 1.0, 1_000_000)
+                for total, at in ((3, wire), (4, (await new.get.receive())[0])):
+                    await at.stream.send_all(f"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n{total}".encode())
+                self.assertEqual({(c.name, c.status, c.total) for c in await heard(2)},
+                                 {("a", "ok", 3.0), ("b", "ok", 4.0)})
+                await wire.ended.wait()
+                nursery.cancel_scope.cancel()
+
+        counting(step)
+
+
+class Reloading(unittest.TestCase):
+    def test_discovery_moves_at_once_and_no_open_call_is_lost(self) -> None:
+        scenario("""
+            disco expect GET /v1/servers?index=1&wait=
+            c1 send GET /look
+            box expect GET /look
+            n1 send SIGHUP discovery=$disco2 counter=$counter2
+            disco wait
+            disco2 expect GET /v1/servers
+            disco2 send 200 | {"seq": 1, "whole": true, "hosts": []}
+            disco2 expect GET /v1/servers?index=1&wait=
+            box send 200 | still here
+            c1 expect 200 | still here
+            c1 send GET /look X-Expires-In-Ms=200
+            c1 expect 503
+            box wait idle""")
+
+    def test_a_file_that_is_bad_anywhere_changes_nothing(self) -> None:
+        scenario("""
+            disco expect GET /v1/servers?index=1&wait=
+            n1 send SIGHUP raw {"torn
+            n1 send SIGHUP discovery=$disco2 counter=nowhere
+            n1 send SIGHUP discovery=$disco2 settings=none
+            disco send 200 | {"seq": 2, "whole": false, "hosts": []}
+            disco expect GET /v1/servers?index=2&wait=""")
+
+
 class Listing(unittest.TestCase):
     def test_a_box_that_drains_or_left_gets_nothing_new(self) -> None:
         told: list[News] = []
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -36,7 +37,7 @@
         self.addCleanup(program.kill)
         return program
 
-    def test_it_serves_with_discovery_and_counter_down_and_ends_with_0_on_sigterm(self) -> None:
+    def test_it_serves_with_discovery_and_counter_down_and_ends_with_0_on_sigterm_not_on_sighup(self) -> None:
         program = self.start()
         assert program.stderr is not None
         ready = re.search(r"ready on 127\.0\.0\.1:(\d+)", program.stderr.readline())
@@ -44,8 +45,12 @@
         with socket.create_connection(("127.0.0.1", int(ready[1])), 5) as idle:
             idle.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
             self.assertTrue(idle.recv(1000).startswith(b"HTTP/1.1 200"))
+            program.send_signal(signal.SIGHUP)
+            self.assertIn("anew", program.stderr.readline())
             program.terminate()
+            program.send_signal(signal.SIGHUP)
             self.assertEqual(idle.recv(1000), b"")  # an idle connection is closed
+            program.send_signal(signal.SIGHUP)
         self.assertEqual(program.wait(3.7), 0)
 
     def test_a_bad_introspection_file_is_refused_with_its_key(self) -> None:
