Refuse customers, units and ids that can't be; pause and close idle and bad clients

They had customers' numbers over 2^33 or the id of another client's open call; wire/platform.py checked neither, and units up to 1e6 passed though the settings name the most a request counts. The same client asked the same again up to 600 times, 200 times in 0.1 s: acceptor.run read on at once after an error. Silent connections stood until the bound on connections evicted them, and half a request for 10 s.

Now customers from 2^33, units beyond the settings' most and an id that is open get an error; a client that got one is read on after 0.25 s, and closed after a second; what stands without a request is closed after 2.2 s and half a request after 2.5 s (408); of what follows a last answer 256 KiB are read. Ruled out: a limit on X-Expires-In-Ms at the class's deadline, as usual clients exceed it by some ms.

--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -10,7 +10,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import Gatekeeper
-from gorsefork.memory.call import Call, Failed, Overload, Served
+from gorsefork.memory.call import Call, Denied, Failed, Overload, Served
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.delegation import NEVER_RAN, Delegation, Ending
 from gorsefork.memory.mailbox import Mailbox
@@ -32,6 +32,7 @@
         self.gate, self.clock, self.log, self.settings = Gatekeeper(settings, seed), clock, log, settings
         self.mailbox: Mailbox[i.Event] = Mailbox(MOST_LETTERS)
         self.calls: dict[str, Call] = {}
+        self.traces: dict[str, Call] = {}  # the same by their clients' ids
         self.timers = Timers(self.calls)
         self.boxes: Boxes
         self.counter: Counter
@@ -55,7 +56,12 @@
         self.mailbox.put(message)
 
     def take(self, call: Call) -> None:
-        """A call is this ingress's from here on: it gets one final answer."""
+        """A call is this ingress's from here on: it gets one final answer. Guards against one with the id of
+        another that is open: a tour box could not tell the two apart."""
+        if call.trace in self.traces and not self.traces[call.trace].over:
+            call.finish(Denied(409))
+            return
+        self.traces[call.trace] = call
         left = (call.ends_at - self.clock.now) / SECOND
         self.calls[call.id] = call
         self.post(i.Request(call.id, call.cls, call.plan, call.customer, left, call.units, call.spread,
@@ -114,6 +120,8 @@
                 call = self.calls.get(item.id)
                 if call is not None and call.over and not call.open_delegations():
                     del self.calls[item.id]
+                    if self.traces.get(call.trace) is call:
+                        del self.traces[call.trace]
 
     # What the module asks for.
 
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -19,11 +19,17 @@
 MOST_BODY = 65536
 MOST_HEAD = 16384
 BACKLOG = 1024
-REQUEST_WITHIN = 10.0  # s from the first byte of a request to its last
+MOST_DISCARDED = 1 << 18  # bytes that are read and dropped behind a last answer
+REQUEST_WITHIN = 2.5  # s from the first byte of a request to its last
+IDLE_FOR = 2_200_000  # us that a connection may stand with no request, a new one too
+REAP_EVERY = 0.25  # s between looks for those
+PENALTY = 0.25  # s until a client that was answered with an error is read on
 FLUSH_WITHIN = 10.0  # s that a client may take to read an answer
 LINGER = 1.0  # s that a client has to read its last answer and close
 FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
 
+NO_CALL = frozenset((400, 404, 405, 409, 413, 431, 501))  # the client's fault, whoever's token it came with
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -69,6 +75,8 @@
         self.flushing = self.advancing = False
         self.scope = trio.CancelScope()
         self.last = False  # nothing more is read from this client
+        self.paused = False  # it is not read on for a while
+        self.errors = self.discarded = 0
 
     async def run(self) -> None:
         with self.scope:
@@ -76,14 +84,23 @@
                 while data := await self.stream.receive():
                     if self.take(data):
                         break
+                    while self.paused:
+                        # Guards against a client that asks the same again as soon as it is turned away:
+                        # at full speed a few of those would take all of this ingress's time.
+                        await trio.sleep(PENALTY)
+                        self.paused = False
+                        self.advance()
             except (OSError, trio.ClosedResourceError):
                 pass  # the client's own affair, and the end of this connection only
+        if self.scope.cancelled_caught and self.exchange is not None and self.exchange.call is None:
+            self.reject(408)
         self.finish()
 
     def take(self, data: bytes) -> bool:
-        """Feed what came; whether this client sends too much ahead of its answer."""
+        """Feed what came; whether this client sends too much ahead of its answer, or behind its last."""
         if self.last:
-            return False
+            self.discarded += len(data)
+            return self.discarded > MOST_DISCARDED
         if self.exchange is None and self.scope.deadline == math.inf:
             self.scope.deadline = trio.current_time() + REQUEST_WITHIN  # lifted once the request is whole
         self.http.receive_data(data)
@@ -110,7 +127,7 @@
             self.advancing = False
 
     def step(self) -> None:
-        while not self.last:
+        while not self.last and not self.paused:
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
@@ -157,6 +174,9 @@
         if exchange.answered:
             return
         exchange.answered = True
+        if isinstance(answer, Denied) and answer.status in NO_CALL:
+            self.errors += 1
+            last, self.paused = last or self.errors > 1, True
         last = last or self.acceptor.closing
         status, headers, body = to_http(answer, self.acceptor.front.whole_seconds)
         headers.append((b"Content-Length", str(len(body)).encode()))
@@ -170,7 +190,7 @@
             return
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not last:
             self.http.start_next_cycle()
-            self.acceptor.idle[self] = None
+            self.acceptor.idle[self] = self.acceptor.clock.now
             if self.http.trailing_data[0]:
                 self.advance()
         else:
@@ -246,7 +266,7 @@
     def __init__(self, listen: str, front: Front, clock: Clock, most: int) -> None:
         self.front, self.clock, self.most = front, clock, most
         self.connections: set[ClientConnection] = set()
-        self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
+        self.idle: OrderedDict[ClientConnection, int] = OrderedDict()  # since when, the longest first
         self.closing = False
         self.nursery: trio.Nursery | None = None
         host, port = address(listen)
@@ -270,6 +290,7 @@
 
     async def run(self) -> None:
         async with trio.open_nursery() as self.nursery:
+            self.nursery.start_soon(self.reap)
             with trio.CancelScope() as self.listening:
                 while True:
                     await trio.lowlevel.wait_readable(self.sock)
@@ -290,11 +311,25 @@
                 return False  # broken on its way, or no descriptor is left: the backlog keeps the rest
             connection = ClientConnection(stream, self)
             self.connections.add(connection)
-            self.idle[connection] = None
+            self.idle[connection] = self.clock.now
             if self.closing:
                 connection.scope.deadline = trio.current_time() + FIRST_BYTES
             self.start(connection.run)
 
+    async def reap(self) -> None:
+        """Close what has stood without a request: silent clients, and those that asked once and stay."""
+        while True:
+            await trio.sleep(REAP_EVERY)
+            while self.idle:
+                connection, since = next(iter(self.idle.items()))
+                if since + IDLE_FOR > self.clock.now:
+                    break
+                del self.idle[connection]
+                if connection.flushing:  # its client has not read the last answer yet
+                    self.idle[connection] = self.clock.now
+                elif connection.scope.deadline == math.inf:  # else a request has begun, and has its own limit
+                    connection.close_if_idle()
+
     def evict(self) -> bool:
         for connection in list(self.idle)[:8]:
             connection.close_if_idle()
--- a/gorsefork/wire/introspection.py
+++ b/gorsefork/wire/introspection.py
@@ -17,7 +17,7 @@
 from gorsefork.memory.delegation import Delegation
 from gorsefork.wire.acceptor import Exchange
 from gorsefork.wire.introspection_client import IntrospectionClient, Unavailable
-from gorsefork.wire.platform import TRACE, BadCall, CallReader, metering, units_of, whole
+from gorsefork.wire.platform import TRACE, BadCall, CallReader, metering, whole
 from gorsefork.wire.tokens import BadToken, Claims, NoToken, Tenant, Tenants, TenantsUnavailable, bearer
 
 IDS = itertools.count(1)
@@ -141,7 +141,7 @@
         given = exchange.text(b"x-expires-in-ms")
         left_ms = min(most, whole(given, 1, 86_400_000)) if given else most
         asked = exchange.text(b"x-metering")
-        units = units_of(metering(asked)) if asked else 1.0  # whose it is, and where, the token says
+        units = self.reader.units(metering(asked)) if asked else 1.0  # whose it is, and where, the token says
         return Order(cls, token, trace, units, exchange.came_at + left_ms * 1000)
 
     async def admit(self, exchange: Exchange, order: Order) -> None:
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -12,6 +12,8 @@
 
 IDS = itertools.count(1)
 CUSTOMER = re.compile(r"[0-9a-fA-F]{16}")
+CUSTOMERS = 1 << 33  # every customer's number is below
+UNITS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 KEY = re.compile(r"[!-~]([ -~]{0,253}[!-~])?")
 TRACE = re.compile(r"[!-~]{1,128}")
 METHODS = {"repeatable": "GET"}
@@ -79,16 +81,27 @@
         customer = exchange.text(b"x-client-id")
         if plan is None or not TRACE.fullmatch(trace) or not CUSTOMER.fullmatch(customer):
             raise BadCall(400)
+        if int(customer, 16) >= CUSTOMERS:
+            raise BadCall(400)
         left_ms = whole(exchange.text(b"x-expires-in-ms"), 1, 86_400_000)
         values, ingresses = metering(exchange.text(b"x-metering")), self.settings.gatekeepers
         spread, first = values.get("spread", ""), values.get("first", "")
         return Call(
             f"{next(IDS):x}", exchange.method, exchange.target, bytes(exchange.body), trace,
-            exchange.text(b"idempotency-key"), cls, plan, customer.lower(), units_of(values),
+            exchange.text(b"idempotency-key"), cls, plan, customer.lower(), self.units(values),
             whole(spread, 1, ingresses), whole(first, 0, ingresses - 1),
             exchange.came_at, exchange.came_at + left_ms * 1000, exchange.reply,
             exchange.text(b"x-second-try") == "1")
 
+    def units(self, values: Mapping[str, str]) -> float:
+        """Guards against a client that draws a customer's quota empty with one request."""
+        if not UNITS.fullmatch(values.get("units", "")):
+            raise BadCall(400)
+        units = float(values["units"])
+        if not 0.0 < units <= self.settings.accounting.most_units:
+            raise BadCall(400)
+        return units
+
 
 def whole(text: str, least: int, most: int) -> int:
     if not text.isascii() or not text.isdigit() or len(text) > 9 or not least <= int(text) <= most:
@@ -103,13 +116,3 @@
     if len(values) < len(pairs):
         raise BadCall(400)
     return values
-
-
-def units_of(values: Mapping[str, str]) -> float:
-    try:
-        units = float(values["units"])
-    except (KeyError, ValueError):
-        raise BadCall(400) from None
-    if not 0.0 < units < 1e6:
-        raise BadCall(400)
-    return units
