Write off lost attempts, so that they neither close a lane nor shut a good server out

In decisions/rules.py - outcome: a lost attempt stood in lane.open until its deadline, 3 to 5 of 10 open; target_q fell from 16 to 7 as the rate fell with it. Now an attempt that was overtaken by twice the patience is written off. - slowness, learn: its age, and its time-out 2.7 s later, marked a server slow that answered all others. - assess, pick: 'silent' was taken back by an answer alone, and nothing was sent there any more. Now one request a second that may be repeated tries it. - connected: one broken connection barred for 5 to 15 s. - overdue: under pressure it looked once and never again. - account: one idle account was dropped for each return of a known customer, so customers that come once piled up (1,339 of them in a minute). Ruled out: dead kept connections (new ones hung alike; closing all older ones gained nothing), cold starts (ramp 1 s, all warm), a kind of request (all classes, plans and units alike), one ingress (all four).

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from hashlib import blake2s
+from itertools import islice
 from statistics import median_high
 from typing import Any
 
@@ -35,7 +36,8 @@
 LEAST_WAIT, ASK_WAIT = 0.02, 0.1  # s between looks at one customer's room; for the word of its keeper
 FLUSH_SHARE, FLUSH_ALL = 0.125, 0.5  # of a span that adds may wait; where one gatekeeper sees all tries
 RESERVE = 0.15  # of the burst kept back, so that adds not yet seen do not carry a customer beyond its quota
-NAME_LIFE_MAX, IDLE_ACCOUNT = 60.0, 120.0  # s, the longest life of a shared count; of an unused account
+NAME_LIFE_MAX = 60.0  # s, the longest life of a shared count
+IDLE_SPANS, IDLE_ACCOUNT = 2.5, 5.0  # an unused account is kept for its count's life, and s more
 ASK, YES, NO, BACK = b"a", b"y", b"n", b"b"  # notes: a try to count; the keeper's word; units or a place free
 NEVER_RAN = frozenset(("full", "connect_failed", "moot"))
 
@@ -123,8 +125,9 @@
         return (some[at:] + some[:at])[: None if ticket.attempts else CHOICES_MOST]
 
     def pick(self, ticket: Ticket, now: float) -> Server | None:
-        """The least expected latency of the fit that were drawn, else the suspects. A lapse is the trial."""
-        best, least = None, math.inf
+        """The least expected latency of the fit that were drawn, else the suspects. Now and then one of those
+        is tried first, where a second copy can follow: what gets nothing would stay shut out."""
+        best, least, trial = None, math.inf, self.settings.limits.second_copies and may_repeat(ticket.cls)
         tried, kind = {a.server for a in ticket.attempts}, (ticket.request.cls, ticket.request.plan)
         for server in self.drawn(ticket):
             cost = self.cost(server, now) * (4.0 if server in tried else 1.0)
@@ -132,6 +135,8 @@
                 cost *= 1e3
             if self.suspect(server, now):
                 cost *= 1e9 if server.silent else 1e6
+                if trial and not ticket.attempts and len(server.open) < 2 and now - server.tried_at > TRICKLE:
+                    cost, server.tried_at, trial = 0.0, now, False
             if cost < least and may_send(ticket, server, now, self.settings) and self.cold_room(server, now):
                 best, least = server, cost
         return best
@@ -140,10 +145,13 @@
         return now - server.answered_at < self.settings.limits.keepalive
 
     def connected(self, server: Server, sent_at: float, made: bool, now: float) -> None:
-        """Guards against servers that take no new connections, are dead or cut off: one failure passes it by,
-        several keep to those that answered of late. Harm: a few carry more while others might be had."""
+        """Guards against servers that take no new connections, are dead or cut off: a failure passes it by,
+        at first briefly, as one connection may break by itself; several keep to those that answered of late.
+        Harm: a few carry more while others might be had."""
+        server.unmet = 0 if made else server.unmet + 1
         if not made:
-            server.barred_until = now + FORGET * self.rng.uniform(0.5, 1.5)
+            pause = min(FORGET, TRICKLE / 2.0 * 2.0**min(server.unmet, 10))
+            server.barred_until = now + pause * self.rng.uniform(0.5, 1.5)
         if not self.linked(server, sent_at):
             self.barred = self.barred / 2.0 if made else self.barred + 2.0 * SMOOTH * (1.0 - self.barred)
 
@@ -293,11 +301,19 @@
         else:
             account.refill(now)
             self.accounts.move_to_end(tag)
-            oldest, old = next(iter(self.accounts.items()))
-            if now - old.at > IDLE_ACCOUNT and not (old.calling or old.open or old.waits.heap):
-                del self.accounts[oldest]
+        self.forget(now)
         return account
 
+    def forget(self, now: float) -> None:
+        """Guards against a table that grows with customers ever seen. Two at a time: faster than any come."""
+        for tag, old in list(islice(self.accounts.items(), 2)):
+            if now - old.at < IDLE_SPANS * old.span + IDLE_ACCOUNT:
+                return
+            if old.owes() or old.due < math.inf or old.timed:
+                self.accounts.move_to_end(tag)
+            else:
+                del self.accounts[tag]
+
     def of(self, request: i.Request, plan: i.Plan, now: float) -> Account:
         """Where a part is less than a try and peers can be told, one of the set keeps the account for all."""
         tag, many = blake2s(request.customer.encode(), digest_size=8).digest(), max(1, request.spread)
@@ -646,7 +662,7 @@
     def send(self, ticket: Ticket, server: Server) -> None:
         request, lane, number = ticket.request, ticket.lane, len(ticket.attempts)
         ticket.attempts.append(Attempt(server, self.now, server.entry.zone, server.entry.cell))
-        expected, deviation = self.fleet.service[request.cls]
+        expected = self.fleet.service[request.cls][0]
         server.open[(request.id, number)] = (self.now, expected)
         if self.fleet.warmth(server, self.now) >= 1.0:
             self.fleet.warm_sends += 1
@@ -655,15 +671,23 @@
         lane.open, lane.sent = lane.open + 1, lane.sent + 1
         self.budget = min(RETRY_DEPTH, self.budget + RETRY_SHARE * (number == 0))
         self.out.append(i.Send(request.id, server.entry.server))
-        if may_repeat(ticket.cls) and not ticket.cls.stream:
-            self.out.append(i.SetTimer(f"p:{number}:{request.id}", expected + 4.0 * deviation, request.id))
+        if ticket.cls.effect != "once" and not ticket.cls.stream:
+            self.look_after(ticket, number)
 
     def overdue(self, ticket: Ticket, number: int) -> None:
-        """Off slow, silent or leaving servers: a second copy, or a move. Under pressure only off suspects."""
-        bad, limits = self.fleet.suspect(ticket.attempts[number].server, self.now), self.settings.limits
+        """Off slow, silent or leaving servers: a second copy, or a move. Under pressure only off suspects,
+        or where one is lost: it is looked at again and again, as that may show later."""
+        attempt, limits = ticket.attempts[number], self.settings.limits
+        if ticket.closed or ticket.streaming or not attempt.open:
+            return
+        lost = self.write_off(ticket, number)
+        bad = lost or self.fleet.suspect(attempt.server, self.now)
         pressed = min(self.premium.chance, self.basic.chance) < 1.0
-        over = ticket.closed or ticket.streaming or not ticket.attempts[number].open
-        if over or self.budget < 1.0 or (pressed and not bad) or limits.max_attempts < number + 2:
+        if not lost:
+            self.look_after(ticket, number)
+        if not lost and not may_repeat(ticket.cls):
+            return
+        if self.budget < 1.0 or (pressed and not bad) or limits.max_attempts < number + 2:
             return
         if limits.second_copies:
             if ticket.open_attempts() < 2 and self.dispatch(ticket):
@@ -671,6 +695,24 @@
         elif bad and limits.cancel:
             self.out.append(i.Cancel(ticket.request.id, number))
 
+    def look_after(self, ticket: Ticket, number: int) -> None:
+        """A time for an answer by which most have come."""
+        token = f"p:{number}:{ticket.request.id}"
+        self.out.append(i.SetTimer(token, self.patience(ticket), ticket.request.id))
+
+    def patience(self, ticket: Ticket) -> float:
+        expected, deviation = self.fleet.service[ticket.request.cls]
+        return expected + 4.0 * deviation
+
+    def write_off(self, ticket: Ticket, number: int) -> bool:
+        """Guards against a server that loses some attempts and serves the others well: one that was overtaken
+        by far is lost. Kept among the open ones, a few such close the lane and shut out a good server."""
+        attempt = ticket.attempts[number]
+        if attempt.counted and attempt.server.overtook > attempt.sent_at + 2.0 * self.patience(ticket):
+            attempt.counted, ticket.lane.open = False, ticket.lane.open - 1
+            attempt.server.open.pop((ticket.request.id, number), None)
+        return not attempt.counted
+
     def outcome(self, event: i.Outcome) -> None:
         ticket = self.tickets.get(event.id)
         known = ticket.attempts if ticket else []
@@ -679,7 +721,7 @@
         attempt = known[event.attempt]
         attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
         self.learn(ticket, attempt, event)
-        ticket.lane.open -= 1
+        ticket.lane.open -= attempt.counted
         if event.closed or event.status == "ok":
             self.quota.settle(ticket, event.billed)
             self.end(ticket, None)
@@ -701,6 +743,7 @@
         ratio = latency / self.fleet.service[cls][0]
         if event.status in ("ok", "error", "full", "reset"):
             self.fleet.alive(server, now)
+            server.overtook = max(server.overtook, attempt.sent_at)
         if event.status in ("ok", "timeout", "cancelled"):
             self.capacity.ended(ticket.cls.aim, latency, event.status == "ok")
         if event.status == "ok":
@@ -716,7 +759,8 @@
         weight = min(0.5, max(SMOOTH, (now - server.sampled_at) / RECALL * SMOOTH))
         server.sampled_at = now
         server.errors += weight * ((event.status not in ("ok", "cancelled")) - server.errors)
-        if event.status == "ok" or (event.status in ("timeout", "cancelled") and ratio > server.pace):
+        late = event.status in ("timeout", "cancelled") and ratio > server.pace
+        if event.status == "ok" or (late and attempt.counted):
             server.pace += weight * (min(ratio, 10.0) - server.pace)
 
     def again(self, ticket: Ticket, price: float) -> None:
--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -29,6 +29,8 @@
         self.sampled_at = self.answered_at = self.tried_at = self.filled_at = -math.inf
         self.cold_from, self.credit, self.silent = -math.inf, 0.0, False
         self.barred_until = -math.inf  # no connection was had: passed by till then
+        self.overtook = -math.inf  # when the latest attempt that has its answer was sent
+        self.unmet = 0  # connections in a row that were not had
         self.place = 0.0  # in its gatekeeper's order
         self.full: dict[tuple[int, int], float] = {}  # class and plan turned away -> until when
 
@@ -63,6 +65,7 @@
     cell: int
     open: bool = True
     may_have_run: bool = True
+    counted: bool = True  # among its lane's open ones
 
 
 @dataclass(slots=True, eq=False)
@@ -191,6 +194,10 @@
             self.mine -= units
             self.pending += units
 
+    def owes(self) -> bool:
+        """Whether something is still owed: an add, an answer, or a try's end."""
+        return bool(self.calling or self.open or self.waits.heap or self.claims or abs(self.pending) > 1e-9)
+
     def out(self, now: float) -> int:
         """Tries open here, and at the gatekeepers of the set that asked."""
         while self.leases and self.leases[0] <= now:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -329,8 +329,8 @@
             for count in d.made(i.Count)[-1:]:
                 d.feed(i.Counted(count.name, ("ok", "full", "timeout")[n % 3], 4.0, 0.01))
             d.run(0.02)
-        sent_ids = {a.id for a in d.made(i.Send)}
         d.run(5.0)
+        sent_ids = {a.id for a in d.made(i.Send)}
         ends = [(at, a.id) for at, a in d.log if isinstance(a, i.Refuse | i.Fail)]
         waited = [at - asked[name] for at, name in ends if name not in sent_ids]
         assert waited and max(waited) <= 0.5 + 0.02  # half the aim: so long it could still be served
