Give up answers that stall or are too long at once; keep no link across a restart

Spoilt answers that say more than they bring held their call until its deadline, in wire/boxes.py Link.answer: now 0.25 s between two parts is all, a Content-Length over the bound or beside a Transfer-Encoding ends the attempt at its head, and at most 8 answers 1xx are skipped. A link in use while its box moved or started anew was kept afterwards (TourBox.exchange asked only whether the box had left).

--- a/gorsefork/wire/boxes.py
+++ b/gorsefork/wire/boxes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -16,15 +17,17 @@
 
 MOST_BODY = 65536
 MOST_WAITING = 512  # orders that one box's actor may have unread
+REST_WITHIN = 0.25  # s between two parts of one answer
+MOST_ASIDES = 8  # 1xx answers ahead of one
 RETIRE_SHARE = 0.75  # of the keep-alive time that a connection may stand idle here
 
 
 class Link:
     """One connection to a tour box; it carries one delegation at a time."""
 
-    def __init__(self, stream: Stream) -> None:
+    def __init__(self, stream: Stream, life: int) -> None:
         self.stream, self.http = stream, h11.Connection(h11.CLIENT)
-        self.clean, self.idle_since = True, 0
+        self.clean, self.idle_since, self.life = True, 0, life
 
     async def ask(self, delegation: Delegation, authority: str, left_ms: int) -> Ending:
         """A break before the last byte is written never ran; after it, it may have."""
@@ -46,17 +49,22 @@
         delegation.written = True
         try:
             return await self.answer()
-        except (OSError, h11.RemoteProtocolError):
+        except (OSError, h11.RemoteProtocolError, trio.TooSlowError):
             return Ending("reset")
 
     async def answer(self) -> Ending:
-        head, body = None, bytearray()
+        head, body, asides, begun = None, bytearray(), 0, False
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
-                self.http.receive_data(await self.stream.receive())
+                # Guards against an answer that is said to be longer than it is: the rest never comes.
+                with trio.fail_after(REST_WITHIN if begun else math.inf):
+                    self.http.receive_data(await self.stream.receive())
+                begun = True
             elif isinstance(event, h11.Response):
                 head = event
+                if too_long(event):
+                    return Ending("error")
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MOST_BODY:
@@ -67,10 +75,19 @@
                     self.http.start_next_cycle()
                     self.clean = not self.http.trailing_data[0]
                 return ending(head, bytes(body))
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse) and asides < MOST_ASIDES:
+                asides, begun = asides + 1, False
+            else:
                 return Ending("reset")
 
 
+def too_long(head: h11.Response) -> bool:
+    """Whether the answer can't be passed on: its body is over the bound, or it has two lengths."""
+    sizes = [value for name, value in head.headers if name == b"content-length"]
+    return any(int(size) > MOST_BODY for size in sizes) or (
+        bool(sizes) and any(name == b"transfer-encoding" for name, _ in head.headers))
+
+
 def ending(head: h11.Response, body: bytes) -> Ending:
     """What an answer means. Only ``X-Never-Ran`` proves that it never ran: a bare 503 proves nothing."""
     headers = {bytes(name): bytes(value) for name, value in head.headers}
@@ -99,6 +116,13 @@
         self.mailbox: Mailbox[Delegation | None] = Mailbox(MOST_WAITING)  # None: close what is idle
         self.idle: deque[Link] = deque()
         self.retired = False
+        self.life = 0  # of the process there, or its address: a connection serves the one it was made for
+
+    def renew(self, host: Host) -> None:
+        if (self.host.dial, self.host.started) != (host.dial, host.started):
+            self.life += 1
+            self.mailbox.put(None)
+        self.host = host
 
     async def run(self) -> None:
         clock = self.fleet.clock
@@ -143,6 +167,9 @@
         link = self.idle_link() or await self.new_link()
         if link is None:
             return Ending("connect_failed")
+        if link.life != self.life:  # the process there is another by now
+            self.drop(link)
+            return Ending("moot")
         call = delegation.call
         try:
             if call.permit is not None and not await call.permit.renew(delegation):
@@ -153,7 +180,7 @@
             left_ms = max(1, (delegation.ends_at - self.fleet.clock.now) // 1000)
             return await link.ask(delegation, self.host.dial, left_ms)
         finally:
-            if link.clean and not self.retired:
+            if link.clean and not self.retired and link.life == self.life:
                 link.idle_since = self.fleet.clock.now
                 self.idle.append(link)
             else:
@@ -171,12 +198,12 @@
         if not self.fleet.make_room():
             return None
         self.fleet.links += 1
-        stream = None
+        stream, life = None, self.life
         try:
             stream = await connect(self.host.dial, self.fleet.connect_timeout)
         finally:
             self.fleet.links -= stream is None
-        return None if stream is None else Link(stream)
+        return None if stream is None else Link(stream, life)
 
 
 class Fleet:
@@ -209,9 +236,7 @@
             if self.nursery is not None:
                 self.nursery.start_soon(box.run)
         else:
-            if (box.host.dial, box.host.started) != (host.dial, host.started):
-                box.mailbox.put(None)  # its connections led to the process before
-            box.host = host
+            box.renew(host)
 
     def delegate(self, delegation: Delegation) -> None:
         box = self.boxes.get(delegation.host)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -222,6 +222,39 @@
             box send 200 | whole
             c1 expect 200 | whole""")
 
+    def test_an_answer_shorter_than_it_says_is_given_up_before_the_call_s_time(self) -> None:
+        scenario("""
+            c1 send GET /look
+            box expect GET /look
+            box send raw HTTP/1.1 200 OK\\nContent-Length: 9\\n\\nhalf
+            box expect GET /look
+            box send raw HTTP/1.1 200 OK\\nContent-Length: 3000000000\\n\\nxxxxxxxxxxxx
+            box wait
+            box expect GET /look
+            box send raw HTTP/1.1 200 OK\\nContent-Length: 4\\nTransfer-Encoding: chunked\\n\\n0\\n\\n
+            box wait
+            box expect GET /look
+            box send raw HTTP/1.1 102 Wait\\n\\nHTTP/1.1 103 Hints\\nLink: x\\n\\n
+            box send 200 | whole
+            c1 expect 200 | whole""")
+
+    def test_a_connection_made_for_the_box_before_is_not_kept_for_the_next(self) -> None:
+        """Guards against a box that moves or starts anew while one of its connections is in use."""
+        moved = '{"host": "s-1", "dial": "$box2", "health": "active"}'
+        scenario("""
+            disco expect GET /v1/servers?index=1&wait=
+            c1 send GET /look
+            box expect GET /look
+            disco send 200 | {"seq": 2, "whole": false, "hosts": [$moved]}
+            disco expect GET /v1/servers?index=2&wait=
+            box send 200 | old
+            c1 expect 200 | old
+            box wait
+            c1 send GET /look
+            box2 expect GET /look
+            box2 send 200 | new
+            c1 expect 200 | new""".replace("$moved", moved))
+
     def test_a_kept_connection_that_turned_readable_is_not_used_again(self) -> None:
         scenario("""
             c1 send GET /look
