--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -309,7 +309,7 @@
         for tag, old in list(islice(self.accounts.items(), 2)):
             if now - old.at < IDLE_SPANS * old.span + IDLE_ACCOUNT:
                 return
-            if old.owes() or old.due < math.inf or old.timed:
+            if old.busy():  # what is pending still, a guess settled late, was for a span long past
                 self.accounts.move_to_end(tag)
             else:
                 del self.accounts[tag]
--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -194,9 +194,9 @@
             self.mine -= units
             self.pending += units
 
-    def owes(self) -> bool:
-        """Whether something is still owed: an add, an answer, or a try's end."""
-        return bool(self.calling or self.open or self.waits.heap or self.claims or abs(self.pending) > 1e-9)
+    def busy(self) -> bool:
+        """Whether a call or a try of its own is under way or waits."""
+        return bool(self.calling or self.open or self.waits.heap or self.claims or self.due < math.inf)
 
     def out(self, now: float) -> int:
         """Tries open here, and at the gatekeepers of the set that asked."""
