Hold few idle clients: at most a tenth of the descriptors, evicted before the bound

By each second's state: 171 connections, the bound, 144 to 170 of them idle, 5 to 27 in use; each ingress saw about 110 tries a second, and half of the 690 that clients made a second reached none. At fault: wire/acceptor.py evicted only at 45% of the descriptors, so that the crowd filled that part.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -26,7 +26,8 @@
 from gorsefork.wire.introspection_client import IntrospectionClient
 from gorsefork.wire.platform import PlatformFront
 
-CLIENT_SHARE, BOX_SHARE, SECOND_SHARE = 0.45, 0.3, 0.1  # of the descriptors; the rest is for all else
+CLIENT_SHARE, IDLE_SHARE = 0.4, 0.1  # of the descriptors: clients in all, and those without a request
+BOX_SHARE, SECOND_SHARE = 0.3, 0.1  # tour boxes, the second front's clients; the rest is for all else
 DISCOVERY_PATIENCE = 0.3  # s at the start for discovery's first word; then the known list has to do
 ACCEPT_FOR = 0.45  # s after SIGTERM: the front goes on sending new connections for up to 0.4 s
 LAST_REQUESTS = 0.1  # s for the requests on the last connections to be read
@@ -76,7 +77,8 @@
         self.decider.boxes, self.decider.discovery = self.fleet, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
         front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set)
-        self.acceptors = [Acceptor(config.listen, front, clock, int(sockets * CLIENT_SHARE))]
+        self.acceptors = [Acceptor(config.listen, front, clock, int(sockets * CLIENT_SHARE),
+                                   int(sockets * IDLE_SHARE))]
         if introspection is not None:
             self.acceptors.append(self.second_front(introspection, settings, sockets))
 
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -261,12 +261,13 @@
 
 
 class Acceptor:
-    """Listens for one front. At the bound on connections the one idle for longest gives way."""
+    """Listens for one front. At the bounds on connections the one idle for longest gives way."""
 
-    def __init__(self, listen: str, front: Front, clock: Clock, most: int) -> None:
+    def __init__(self, listen: str, front: Front, clock: Clock, most: int, most_idle: int = 0) -> None:
         self.front, self.clock, self.most = front, clock, most
+        self.most_idle = most_idle or most
         self.connections: set[ClientConnection] = set()
-        self.idle: OrderedDict[ClientConnection, int] = OrderedDict()  # since when, the longest first
+        self.idle: OrderedDict[ClientConnection, int] = OrderedDict()  # since when; longest first
         self.closing = False
         self.nursery: trio.Nursery | None = None
         host, port = address(listen)
@@ -303,6 +304,10 @@
         while True:
             if len(self.connections) >= self.most and not self.evict():
                 return False
+            if len(self.idle) >= self.most_idle:
+                # Guards against a crowd that connects and asks nothing: connections are few, and each
+                # that is held for one without a request is one less for those that have one.
+                self.evict()
             try:
                 stream = Stream(self.sock.accept()[0])
             except BlockingIOError:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -92,6 +92,25 @@
             c1 wait""")
         self.assertGreater(time.monotonic() - began, PENALTY)
 
+    def test_a_crowd_of_idle_clients_gives_way_before_it_fills_the_bound(self) -> None:
+        """Guards against clients that find no connection while others hold theirs for nothing."""
+        async def crowd(world: World) -> None:
+            world.ingresses[0].acceptors[0].most_idle = 2
+            await world.play("""
+                c1 send GET /look
+                box expect GET /look
+                c2 send GET /healthz
+                c2 expect 200
+                c3 send raw
+                c4 send GET /healthz
+                c4 expect 200
+                c2 wait
+                box send 200 | in hand
+                c1 expect 200 | in hand""")
+
+        with mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 60_000_000):
+            scenario("", then=crowd)
+
     def test_silence_and_half_a_request_end_their_connections(self) -> None:
         with mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 100_000), \
                 mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.3):
