Refuse a GET with a body, and paths that may resolve to another class

A GET with a body was taken and its body passed on: a tour box that reads no body of a GET ran what was hidden there as a second request, with no quota and no token. On the introspection front a path with dot segments or an encoded slash was judged by its first segment only, and a client could shrink the guess of its own use below one unit. HTTP versions other than 1.0 and 1.1 were taken.

The acceptor refuses such heads before a front sees them (400, 505); the introspection front refuses paths that some server might resolve elsewhere, and counts every call as one unit at least.

--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -5,7 +5,7 @@
 import math
 import socket
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -28,7 +28,9 @@
 LINGER = 1.0  # s that a client has to read its last answer and close
 FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
 
-NO_CALL = frozenset((400, 404, 405, 409, 413, 431, 501))  # the client's fault, whoever's token it came with
+NO_CALL = frozenset((400, 404, 405, 409, 413, 431, 501, 505))  # the client's fault, whosever token it had
+
+BODILESS = frozenset((b"GET", b"HEAD"))
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -54,6 +56,21 @@
         self.reply(Denied(status, headers))
 
 
+def fault_of(head: h11.Request, headers: Mapping[bytes, bytes]) -> int:
+    """The status for a head that no front may take, 0 if there is none.
+
+    Guards against a request hidden in the body of another: two lengths are one too many, and a server that
+    reads no body of a GET (RFC 9110, 9.3.1 gives it no meaning) runs what stands there as the next request.
+    """
+    if head.http_version not in (b"1.0", b"1.1"):
+        return 505
+    chunked, length = b"transfer-encoding" in headers, headers.get(b"content-length")
+    if chunked and length is not None:
+        return 400
+    has_body = chunked or (length is not None and int(length) > 0)
+    return 400 if has_body and head.method in BODILESS else 0
+
+
 class Front(Protocol):
     """What the acceptor asks of a front."""
 
@@ -143,9 +160,8 @@
                 for name, value in event.headers:  # what stands twice is joined, as its readers expect
                     seen = headers.get(bytes(name))
                     headers[bytes(name)] = bytes(value) if seen is None else seen + b", " + bytes(value)
-                # Guards against a request hidden in the body of another: two lengths are one too many.
-                if b"content-length" in headers and b"transfer-encoding" in headers:
-                    self.reject(400)
+                if fault := fault_of(event, headers):
+                    self.reject(fault)
                     return
                 self.exchange = exchange = Exchange(
                     event.method.decode("ascii"), event.target.decode("latin-1"), headers,
--- a/gorsefork/wire/introspection.py
+++ b/gorsefork/wire/introspection.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
+from urllib.parse import unquote
 
 import trio
 
@@ -23,6 +24,8 @@
 IDS = itertools.count(1)
 RETRY_AFTER = 1.0  # s: what a client is advised while the server cannot be asked
 IN_QUERY = re.compile(r"[?&]access_token=", re.IGNORECASE)
+MOST_DECODINGS = 4  # times that a server might decode a path: what is deeper is refused unread
+LEAST_UNITS = 1.0  # of a call's guess, whatever its client says: what it used in truth is settled later
 
 
 def challenge(error: str = "", scope: str = "") -> tuple[str, str]:
@@ -37,6 +40,26 @@
 MAY_HAVE_RUN = Denied(502)
 
 
+def stays_in_place(path: str) -> bool:
+    """Whether every server resolves ``path`` (without its query) to the segments that stand in it.
+
+    Guards against a path whose first segment is one class while a tour box that resolves dot segments or
+    decodes a slash (RFC 3986, 5.2.4 and 6.2.2), or takes a backslash for one, runs another class than the
+    token was checked for.
+    """
+    for _ in range(MOST_DECODINGS):
+        segments = path.split("/")
+        if "\\" in path or any(segment.partition(";")[0] in (".", "..") for segment in segments):
+            return False
+        decoded = unquote(path, "latin-1")
+        if decoded == path:
+            return True
+        if decoded.count("/") != path.count("/"):
+            return False
+        path = decoded
+    return False
+
+
 class Gate:
     """One check of a token for a class: the claims, or the answer that the call gets instead."""
 
@@ -130,6 +153,8 @@
                 exchange.reply(Overload(RETRY_AFTER))
 
     def read(self, exchange: Exchange) -> Order:
+        if not stays_in_place(exchange.target.partition("?")[0]):
+            raise BadCall(400)
         cls = self.reader.cls(exchange)
         if IN_QUERY.search(exchange.target):  # it would go on to the tour box with the query
             raise BadToken
@@ -141,7 +166,8 @@
         given = exchange.text(b"x-expires-in-ms")
         left_ms = min(most, whole(given, 1, 86_400_000)) if given else most
         asked = exchange.text(b"x-metering")
-        units = self.reader.units(metering(asked)) if asked else 1.0  # whose it is, and where, the token says
+        # Whose it is, and where, the token says.
+        units = max(LEAST_UNITS, self.reader.units(metering(asked))) if asked else LEAST_UNITS
         return Order(cls, token, trace, units, exchange.came_at + left_ms * 1000)
 
     async def admit(self, exchange: Exchange, order: Order) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,7 +12,7 @@
     c1 close / box close                   close, or as a server reset, the connection last used
     c1 wait / box wait                     until the ingress closes that connection
     box wait idle                          no request is waiting there
-    c1 send raw TEXT                       bytes as they stand
+    c1 send raw TEXT                       bytes as they stand; or: raw2 TEXT, to the second front
     n1 send SIGHUP discovery=$disco2       the first ingress reads a file with these values (or: raw TEXT)
 """
 
@@ -159,7 +159,9 @@
             _, count, head = head.split(" ", 2)
             times = int(count)
         if head.startswith("raw"):
-            return await self.raw_client(who, rest[4:].replace("\\n", "\r\n").encode("latin-1"))
+            kind, _, text = rest.partition(" ")
+            data = text.replace("\\n", "\r\n").encode("latin-1")
+            return await self.raw_client(who, data, front=kind == "raw2")
         method, target, *words = head.split(" ")
         given = dict(word.split("=", 1) for word in words if "=" in word)
         ingress = self.ingresses[int(given.pop("at", 0))]
@@ -173,9 +175,9 @@
         lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items() if v), "", body]
         await self.clients[who].stream.send_all("\r\n".join(lines).encode("latin-1") * times)
 
-    async def raw_client(self, who: str, data: bytes) -> None:
+    async def raw_client(self, who: str, data: bytes, front: bool) -> None:
         if who not in self.clients:
-            port = self.ingresses[0].acceptors[0].port
+            port = self.ingresses[0].acceptors[front].port
             self.clients[who] = Wire(socket.create_connection(("127.0.0.1", port)))
         await self.clients[who].stream.send_all(data)
 
