--- /dev/null
+++ b/gorsefork/plans/spreading.py
@@ -0,0 +1,92 @@
+"""How changes reach every ingress: what has come here in its order, and how far a fellow has been read.
+
+Each ingress numbers what it learns, its own changes and those of others, by *position* in the order in which
+it came, within this *life* of its program. A fellow that asks for all after a position gets what is missing
+or, where its life or position is not known any more, the whole book. To take a change twice changes nothing,
+so that neither loss nor repetition of an answer matters.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Literal
+
+import msgspec
+
+from gorsefork.plans.book import Book
+from gorsefork.plans.changes import SECOND, Change
+
+MOST_KEPT = 4096  # positions that can still be asked for one by one
+PAGE = 200  # changes in one answer
+SHORTEST_PAUSE, LONGEST_PAUSE = SECOND // 4, 15 * SECOND  # between questions to a fellow that fails
+
+
+class Page(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One answer: ``whole`` if its changes are all that there are, and not just the next ones."""
+
+    life: str
+    position: int  # up to which it tells
+    newest: int  # the last position there is
+    whole: bool
+    changes: tuple[Change, ...]
+    digest: str = ""
+
+
+class Arrivals:
+    """The changes in their order of arrival, for fellows to follow."""
+
+    def __init__(self, life: str, book: Book) -> None:
+        self.life = life
+        self.kept: deque[Change] = deque(maxlen=MOST_KEPT)
+        self.newest = 0
+        for change in book.history():
+            self.add(change)
+
+    def add(self, change: Change) -> None:
+        self.kept.append(change)
+        self.newest += 1
+
+    @property
+    def oldest(self) -> int:
+        """The position before the first that is kept."""
+        return self.newest - len(self.kept)
+
+    def page(self, life: str, position: int, book: Book) -> Page:
+        """What follows ``position``; for one that is too old, or of another life, the whole book at once."""
+        if life == self.life and self.oldest <= position <= self.newest:
+            start = position - self.oldest
+            changes = [self.kept[n] for n in range(start, min(start + PAGE, len(self.kept)))]
+            return Page(self.life, position + len(changes), self.newest, False, tuple(changes), book.digest())
+        return Page(self.life, self.newest, self.newest, True, tuple(book.history()), book.digest())
+
+
+@dataclass(slots=True)
+class Follower:
+    """How far one fellow has been read, and when it is asked next. Times in microseconds, monotonic."""
+
+    dial: str
+    life: str = ""
+    position: int = 0
+    digest: str = ""
+    heard_at: int | None = None
+    failures: int = 0
+    ask_at: int = 0
+    problem: str = ""
+    asked: bool = False  # once at least, with whatever result
+
+    def heard(self, page: Page, now: int) -> None:
+        self.life, self.position, self.digest = page.life, page.position, page.digest
+        self.heard_at, self.failures, self.problem, self.asked = now, 0, "", True
+        self.ask_at = now  # the next question waits over there, for something new
+
+    def failed(self, problem: str, now: int, jitter: float) -> None:
+        """``jitter`` from 0 to 1, or all that a fellow's restart cut off would come back at once."""
+        self.failures, self.problem, self.asked = self.failures + 1, problem, True
+        pause = min(LONGEST_PAUSE, SHORTEST_PAUSE * 2 ** min(self.failures - 1, 10))
+        self.ask_at = now + round(pause * (0.5 + jitter / 2))
+
+    def state(self, now: int, stale_after: int) -> Literal["current", "stale", "unheard"]:
+        if self.heard_at is None:
+            return "unheard"
+        return "current" if now - self.heard_at <= stale_after else "stale"
