Change plans by API and command line, and export each use once and only once

Plans have to change in service at every ingress, and the accounts want every unit of use once.

A control listener (off unless the operator's TOML file names it) takes numbered changes; each is kept on disk, put in effect and followed by fellow ingresses. Good answers' units are recorded under (ingress, life, number) before the answer leaves, in groups on SQLite, and exported in batches until acknowledged; at the bound, or with a failing disk, calls are refused by the module.

--- a/gorsefork/decisions/interface.py
+++ b/gorsefork/decisions/interface.py
@@ -337,11 +337,18 @@
     terms: Plan | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Suspend:
+    """While on, new requests are refused at once: their use could not be accounted for."""
+
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """This gatekeeper stops: what it still holds is to get its answer now."""
 
 
 Event = (Request | Started | Outcome | Gone | Timer | Probed | Counted | PeerMessage | ServerList | Terms
-         | Closing)
+         | Suspend | Closing)
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Count | Tell | Watch | FetchList | Log
--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -603,11 +603,13 @@
         self.period = min(PERIOD, min(c.aim for c in settings.classes) / PERIODS_AN_AIM)
         self.tickets: dict[str, Ticket] = {}
         self.cut_off, self.budget, self.list_misses = 0.0, RETRY_DEPTH, 0
+        self.suspended = False
         self.now, self.begun, self.ticking, self.plain = 0.0, False, False, i.Plan("none")
         self.takers: dict[type, Callable[[Any], None]] = {
             i.Request: self.arrive, i.Outcome: self.outcome, i.Timer: self.timer, i.Counted: self.counted,
             i.ServerList: self.listed, i.Started: self.began, i.Gone: self.left, i.Probed: self.probed,
-            i.PeerMessage: self.heard, i.Terms: self.changed, i.Closing: self.closing}
+            i.PeerMessage: self.heard, i.Terms: self.changed, i.Suspend: self.suspend,
+            i.Closing: self.closing}
 
     def handle(self, now: float, events: Iterable[i.Event]) -> Sequence[i.Action]:
         self.now = now
@@ -641,6 +643,10 @@
     def arrive(self, request: i.Request) -> None:
         if not 0 <= request.cls < len(self.settings.classes) or request.id in self.tickets:
             return
+        if self.suspended:
+            limits = self.settings.limits
+            self.out.append(i.Refuse(request.id, limits.max_retry_after if limits.retry_after else 0.0))
+            return
         known, cls = 0 <= request.plan < len(self.settings.plans), self.settings.classes[request.cls]
         plan = request.terms or (self.settings.plans[request.plan] if known else self.plain)
         account = self.quota.of(request, plan, self.now)
@@ -684,6 +690,9 @@
         if account := self.quota.changed(event, self.now):
             self.admit_waits(account)
 
+    def suspend(self, event: i.Suspend) -> None:
+        self.suspended = event.on
+
     def idle(self) -> bool:
         return self.premium.open + self.basic.open < IDLE_SHARE * self.capacity.target
 
--- /dev/null
+++ b/gorsefork/life/installation.py
@@ -0,0 +1,204 @@
+"""What an operator's file switches on: put together here, and loaded only then."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from gorsefork.decisions import interface as i
+from gorsefork.life.config import Config
+from gorsefork.life.keeper import BookShelf, NoShelf, PlanKeeper
+from gorsefork.life.logs import Logs
+from gorsefork.life.operator import Operator, secret
+from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.memory.deciding import Decider
+from gorsefork.plans.book import Book
+from gorsefork.plans.changes import Change
+from gorsefork.plans.contracts import Contracts
+from gorsefork.storage.books import DurableBook
+from gorsefork.storage.database import Database, WriteFailed
+from gorsefork.storage.faults import Fault, no_fault
+from gorsefork.storage.recorder import Recorder, Shelf
+from gorsefork.storage.uses import DurableStore
+from gorsefork.usage.records import MILLION
+from gorsefork.usage.store import UseStore, VolatileStore
+from gorsefork.wire.acceptor import Acceptor
+from gorsefork.wire.fronts.control import ControlFront
+from gorsefork.wire.services.accounts import AccountsAt, Exporter
+from gorsefork.wire.services.fellows import STALE_AFTER, Fellows
+
+MOST_CONTROL = 64  # connections to the control listener
+LAST_EXPORT = 1.0  # s at the end for what the accounts have not acknowledged
+
+
+class DiskShelf:
+    """The book's part of the state folder, away from the loop. Shares the lock of what else is kept there."""
+
+    def __init__(self, book: DurableBook, shelf: Shelf) -> None:
+        self.book, self.shelf = book, shelf
+
+    async def save(self, changes: Sequence[Change]) -> None:
+        await self.guarded(lambda: self.book.save(changes))
+
+    async def forget(self, book: Book) -> None:
+        await self.guarded(lambda: self.book.forget(book))
+
+    async def guarded(self, what: Callable[[], None]) -> None:
+        try:
+            await self.shelf.run(what)
+        except WriteFailed as error:
+            raise OSError(str(error)) from None
+
+
+class Installation:
+    """Opens the state at once (``BadState``), reads the keys (``BadOperatorFile``), runs with the ingress."""
+
+    def __init__(self, given: Operator, config: Config, clock: Clock, fault: Fault = no_fault) -> None:
+        self.given, self.config, self.clock = given, config, clock
+        self.key = secret("control", given.control.key_file) if given.control else ""
+        self.accounts_key = secret("usage", given.usage.key_file) if given.usage else ""
+        now = clock.unix_us()
+        self.database: Database | None = None
+        self.book = Book()
+        self.book_shelf: BookShelf = NoShelf()
+        store: UseStore = VolatileStore(config.name, now)
+        if given.state is not None:
+            self.database = Database(Path(given.state.folder), config.name, given.state.sync, fault)
+            try:
+                store = DurableStore(self.database, now)
+                durable = DurableBook(self.database)
+                self.book = durable.load()
+            except BaseException:
+                self.database.close()
+                raise
+        self.shelf = Shelf(store, threaded=self.database is not None)
+        if self.database is not None:
+            self.book_shelf = DiskShelf(durable, self.shelf)
+        self.log = Logs(given.log.form, config.name)
+        self.recorder: Recorder | None = None
+        self.exporter: Exporter | None = None
+        self.acceptor: Acceptor | None = None
+        self.exporting = trio.CancelScope()
+        self.began = clock.now
+
+    def attach(self, decider: Decider, ready: Callable[[], bool]) -> None:
+        """Take its place at the module's actor, before anything runs."""
+        settings = self.config.settings
+        self.decider, self.ready = decider, ready
+        self.contracts = Contracts(settings.plans, self.book)
+        self.keeper = PlanKeeper(self.contracts, self.book_shelf, self.clock, self.config.name,
+                                 str(self.shelf.store.life), self.retold, self.log)
+        decider.terms = self.contracts
+        self.fellows = Fellows(self.given.control.peers if self.given.control else (), self.bearer(self.key),
+                               self.clock, self.config.seed, self.keeper.learn, self.log)
+        if self.given.usage is not None:
+            self.record_use(self.given.usage.most_waiting, settings)
+        if self.given.control is not None:
+            front = ControlFront(self.keeper, self.key, self.clock.unix_us, self.status, self.usage,
+                                 self.export)
+            self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
+            front.start = self.acceptor.start
+
+    def record_use(self, most_waiting: int, settings: i.Settings) -> None:
+        given = self.given.usage
+        assert given is not None
+        names = [plan.name for plan in settings.plans], [cls.name for cls in settings.classes]
+        self.recorder = recorder = Recorder(
+            self.shelf, self.clock, most_waiting, names, lambda: len(self.decider.calls), self.suspend,
+            lambda: exporter.recorded())
+        at = AccountsAt(given.accounts, given.path, given.form, given.batch, given.flush_ms * 1000,
+                        given.timeout_ms / 1000, self.bearer(self.accounts_key))
+        self.exporter = exporter = Exporter(at, self.shelf, self.clock, self.log, self.config.seed,
+                                            recorder.look)
+        self.decider.uses = recorder
+
+    @staticmethod
+    def bearer(key: str) -> str:
+        return f"Bearer {key}" if key else ""
+
+    def retold(self, customers: Iterable[str]) -> None:
+        self.decider.retold(customers)
+
+    def suspend(self, shut: bool, reason: str) -> None:
+        self.log(f"calls are {'refused: ' + reason if shut else 'taken again'}",
+                 event="usage.suspended" if shut else "usage.resumed", reason=reason)
+        self.decider.post(i.Suspend(shut))
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.keeper.run)
+            nursery.start_soon(self.fellows.run)
+            if self.recorder is not None:
+                nursery.start_soon(self.recorder.run)
+            if self.exporter is not None:
+                nursery.start_soon(self.export_until_the_end, self.exporter)
+            if self.acceptor is not None:
+                nursery.start_soon(self.acceptor.run)
+
+    async def export_until_the_end(self, exporter: Exporter) -> None:
+        with self.exporting:
+            await exporter.run()
+
+    async def catch_up(self) -> None:
+        """Before this ingress is ready: what fellows have that it missed, or say that it may lack some."""
+        if self.given.control is None or not self.given.control.peers:
+            return
+        with trio.move_on_after(self.given.control.catch_up_ms / 1000):
+            await self.fellows.asked.wait()
+        unheard = [each.dial for each in self.fellows.followers if each.heard_at is None]
+        newest = max((change.stamp for change in self.keeper.book.changes.values()), default=0)
+        if unheard:
+            self.log(f"not all fellows were heard; the newest change here is of {newest}",
+                     event="plan.behind", unheard=unheard, newest=newest)
+
+    async def finish(self) -> None:
+        """The end of a drain: this life's last number is told, if the accounts answer in time."""
+        if self.exporter is None:
+            return
+        self.exporting.cancel()
+        await trio.lowlevel.checkpoint()
+        await self.shelf.run(self.shelf.store.end)
+        with trio.move_on_after(LAST_EXPORT):
+            if self.exporter.shipping.state == "sending":  # cut off: that batch goes once more
+                self.exporter.shipping.nothing()
+            await self.exporter.flush()
+
+    def close(self) -> None:
+        if self.database is not None:
+            self.database.close()
+        self.log.close()
+
+    def export(self) -> None:
+        if self.exporter is not None:
+            self.exporter.hurry()
+
+    def status(self) -> dict[str, Any]:
+        now, book = self.clock.now, self.keeper.book
+        followers = [{
+            "fellow": each.dial, "state": each.state(now, STALE_AFTER), "problem": each.problem,
+            "heard_s_ago": None if each.heard_at is None else round((now - each.heard_at) / SECOND, 3),
+            "same_book": each.heard_at is not None and each.digest == book.digest()}
+            for each in self.fellows.followers]
+        newest = max(book.changes, default=None)
+        return {"ingress": self.config.name, "life": str(self.shelf.store.life), "ready": self.ready(),
+                "up_s": round((now - self.began) / SECOND, 3),
+                "book": {"changes": len(book.changes), "digest": book.digest(),
+                         "newest": str(newest) if newest else None,
+                         "kept_on_disk": self.database is not None},
+                "fellows": followers, "usage": self.usage()}
+
+    def usage(self) -> dict[str, Any]:
+        if self.recorder is None or self.exporter is None:
+            return {"recording": False}
+        shipping, recorder = self.exporter.shipping, self.recorder
+        acknowledged = shipping.acknowledged_at
+        return {"recording": True, "durable": self.database is not None, "life": str(self.shelf.store.life),
+                "recorded": recorder.recorded, "units": recorder.micro / MILLION, "groups": recorder.groups,
+                "waiting": self.shelf.store.waiting(), "most_waiting": recorder.admission.most,
+                "refusing_calls": recorder.admission.shut, "state": shipping.state,
+                "problem": shipping.problem,
+                "acknowledged_s_ago": None if acknowledged is None
+                else round((self.clock.now - acknowledged) / SECOND, 3)}
--- /dev/null
+++ b/gorsefork/life/operator.py
@@ -0,0 +1,143 @@
+"""The operator's TOML file for what the platform lacks: the control listener, state on disk, export of use.
+
+Read whole before anything starts: every fault is told at once, each with its key. Absent, all of it is off.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Mapping
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from gorsefork.wire.stream import address
+
+MOST_PEERS = 500
+
+
+class BadOperatorFile(Exception):
+    """A file that cannot be used: a line a fault, each beginning with its key."""
+
+
+def ip_and_port(text: str) -> str:
+    try:
+        address(text)
+    except ValueError:
+        raise ValueError("must be an IP address and a port") from None
+    return text
+
+
+Dial = Annotated[str, AfterValidator(ip_and_port)]
+Target = Annotated[str, Field(pattern=r"^/[!-~]*$", max_length=256)]
+
+
+class Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class Control(Section):
+    """The listener for operators and fellow ingresses."""
+
+    listen: Dial
+    key_file: str = ""
+    peers: list[Dial] = Field(default=[], max_length=MOST_PEERS)
+    catch_up_ms: int = Field(default=3000, ge=0, le=60_000)
+
+    @model_validator(mode="after")
+    def guarded(self) -> Control:
+        host, _ = address(self.listen)
+        if not ip_address(host).is_loopback and not self.key_file:
+            raise ValueError("listen: off loopback a key_file is needed")
+        if self.listen in self.peers:
+            raise ValueError("peers: names this listener itself")
+        return self
+
+
+class State(Section):
+    """Where the plan book and use are kept. "normal" survives a kill, "full" the loss of power too."""
+
+    folder: str = Field(min_length=1)
+    sync: Literal["full", "normal"] = "full"
+
+
+class Usage(Section):
+    """The accounts' endpoint, and the bound on what waits for it."""
+
+    accounts: Dial
+    path: Target = "/v1/usage"
+    form: Literal["ndjson", "msgpack"] = "ndjson"
+    key_file: str = ""
+    batch: int = Field(default=500, ge=1, le=10_000)
+    flush_ms: int = Field(default=200, ge=1, le=60_000)
+    timeout_ms: int = Field(default=3000, ge=50, le=60_000)
+    most_waiting: int = Field(default=1_000_000, ge=100, le=100_000_000)
+
+
+class Logs(Section):
+    form: Literal["json", "text"] = "json"
+
+
+class Operator(Section):
+    enabled: bool = True
+    control: Control | None = None
+    state: State | None = None
+    usage: Usage | None = None
+    log: Logs = Logs()
+
+
+def read(text: str) -> Operator:
+    """``BadOperatorFile`` tells all that is wrong with it."""
+    try:
+        return Operator.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise BadOperatorFile(f"file: is not TOML ({error})") from None
+    except ValidationError as error:
+        raise BadOperatorFile("\n".join(fault(dict(each)) for each in error.errors())) from None
+
+
+def fault(each: dict[str, object]) -> str:
+    """One of pydantic's errors as our key and reason. The value stays out: it might be a secret."""
+    where = each["loc"]
+    assert isinstance(where, tuple)
+    reason = str(each["msg"]).removeprefix("Value error, ")
+    key, _, rest = reason.partition(": ")
+    if each["type"] == "value_error" and rest and key.isidentifier():  # of a section as a whole
+        where, reason = (*where, key), rest
+    if each["type"] == "extra_forbidden":
+        reason = "is not known"
+    return f"{'.'.join(map(str, where)) or 'file'}: {reason}"
+
+
+def at_start(path: Path) -> Operator | None:
+    """The file that the program starts with; None where it says ``enabled = false``."""
+    try:
+        given = read(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadOperatorFile(f"file: {error}") from None
+    return given if given.enabled else None
+
+
+def secret(section: str, path: str) -> str:
+    """The key in a file of its own; empty where none is named. Others must not be able to read it."""
+    if not path:
+        return ""
+    try:
+        if os.stat(path).st_mode & 0o077:
+            raise BadOperatorFile(f"{section}.key_file: others may read it; chmod 600")
+        value = Path(path).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise BadOperatorFile(f"{section}.key_file: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise BadOperatorFile(f"{section}.key_file: is not text") from None
+    if not 16 <= len(value) <= 256 or not value.isascii() or not value.isprintable() or " " in value:
+        raise BadOperatorFile(f"{section}.key_file: must hold 16 to 256 printable characters without spaces")
+    return value
+
+
+def named(env: Mapping[str, str]) -> Path | None:
+    """The file that ``GORSEFORK_OPERATOR`` names."""
+    return Path(env["GORSEFORK_OPERATOR"]) if env.get("GORSEFORK_OPERATOR") else None
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -8,6 +8,8 @@
 import sys
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import fields, replace
+from pathlib import Path
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
@@ -26,6 +28,9 @@
 from gorsefork.wire.introspection_client import IntrospectionClient
 from gorsefork.wire.platform import PlatformFront
 
+if TYPE_CHECKING:
+    from gorsefork.life.installation import Installation
+
 CLIENT_SHARE, IDLE_SHARE = 0.4, 0.1  # of the descriptors: clients in all, and those without a request
 BOX_SHARE, SECOND_SHARE = 0.3, 0.1  # tour boxes, the second front's clients; the rest is for all else
 DISCOVERY_PATIENCE = 0.3  # s at the start for discovery's first word; then the known list has to do
@@ -33,13 +38,25 @@
 LAST_REQUESTS = 0.1  # s for the requests on the last connections to be read
 FINISH_BY = 3.3  # s after SIGTERM, the last answers; SIGKILL comes no sooner than at 3.7 s
 LAST_WRITES = 0.1  # s for answers to leave
+OPERATOR = Path(__file__).parents[2] / "deploy" / "operator.toml"
 LOOK_EVERY = 0.02  # s between looks whether all have left
 
 
-def log(text: str) -> None:
+def log(text: str, /, *, event: str = "", **fields: object) -> None:
     print(text, file=sys.stderr, flush=True)
 
 
+def operator_file(env: Mapping[str, str]) -> Path | None:
+    """The operator's file, if there is one. Without it nothing of what it switches on is even loaded."""
+    if path := env.get("GORSEFORK_OPERATOR"):
+        return Path(path)
+    return OPERATOR if OPERATOR.exists() else None
+
+
+class Log(Protocol):
+    def __call__(self, text: str, /, *, event: str, **fields: object) -> None: ...
+
+
 class Absent:
     """Stands where a site has no counter or no messages: nothing is added, nothing is sent."""
 
@@ -56,11 +73,13 @@
 class Ingress:
     """One ingress, all parts of it, from its configuration."""
 
-    def __init__(self, config: Config, clock: Clock, introspection: IntrospectionConfig | None) -> None:
-        self.config = config
+    def __init__(self, config: Config, clock: Clock, introspection: IntrospectionConfig | None,
+                 extra: Installation | None = None) -> None:
+        self.config, self.extra = config, extra
+        self.log: Log = extra.log if extra is not None else log
         settings, sockets = config.settings, config.sockets
         self.clock, self.ready, self.ending = clock, trio.Event(), trio.Event()
-        self.decider = Decider(settings, config.seed, clock, log)
+        self.decider = Decider(settings, config.seed, clock, self.note)
         self.decider.sites += config.sites
         self.decider.kinds += config.kinds
         self.registry = Registry(self.decider.listed, lambda host: self.fleet.changed(host))
@@ -81,12 +100,17 @@
                                    int(sockets * IDLE_SHARE))]
         if introspection is not None:
             self.acceptors.append(self.second_front(introspection, settings, sockets))
+        if extra is not None:
+            extra.attach(self.decider, self.ready.is_set)
+
+    def note(self, text: str) -> None:
+        self.log(text, event="note")
 
     def second_front(self, given: IntrospectionConfig, settings: i.Settings, sockets: int) -> Acceptor:
         client = IntrospectionClient(given.address, given.path, given.client_id, given.client_secret,
-                                     given.timeout_ms / 1000, given.most_in_flight, self.clock, log)
+                                     given.timeout_ms / 1000, given.most_in_flight, self.clock, self.note)
         front = IntrospectionFront(
-            settings, Gate(client, given.scopes, given.audience), tenants_of(given, settings, log),
+            settings, Gate(client, given.scopes, given.audience), tenants_of(given, settings, self.note),
             given.tenant_claim, given.max_age_ms, self.clock, self.decider.take, self.decider.gone,
             self.ready.is_set)
         acceptor = Acceptor(given.listen, front, self.clock, int(sockets * SECOND_SHARE))
@@ -117,7 +141,8 @@
             new = read_config(env)
             read_list(new.known, self.clock, cached=True)
         except (BadConfig, BadList) as error:
-            log(f"gorsefork: kept the old configuration: {error}")
+            self.log(f"gorsefork: kept the old configuration: {error}", event="config.kept",
+                     reason=str(error))
             return
         old, here = self.config, {"known", "seed", "discovery"}
         if new.discovery != old.discovery:
@@ -128,7 +153,9 @@
                 self.counter.move(new.counter)
         self.config = replace(old, **{key: getattr(new, key) for key in here})
         rest = [f.name for f in fields(new) if getattr(new, f.name) != getattr(self.config, f.name)]
-        log(f"gorsefork: read the configuration anew; waits for a restart: {', '.join(rest) or 'nothing'}")
+        waits = ", ".join(rest) or "nothing"
+        self.log(f"gorsefork: read the configuration anew; waits for a restart: {waits}",
+                 event="config.reloaded", waits_for_restart=rest)
 
     async def run_parts(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -140,15 +167,22 @@
                 nursery.start_soon(self.counter.run)
             if self.peers is not None:
                 nursery.start_soon(self.peers.run)
+            if self.extra is not None:
+                nursery.start_soon(self.extra.run)
             nursery.start_soon(self.become_ready)
 
     async def become_ready(self) -> None:
         with trio.move_on_after(DISCOVERY_PATIENCE):
             await self.watch.answered.wait()
+        if self.extra is not None:
+            await self.extra.catch_up()
         gc.collect()
         gc.freeze()  # what lives as long as the program is not worth looking at again
         self.ready.set()
-        log(f"gorsefork: ready on {', '.join(acceptor.where for acceptor in self.acceptors)}")
+        where = [acceptor.where for acceptor in self.acceptors]
+        control = self.extra.acceptor.where if self.extra is not None and self.extra.acceptor else ""
+        self.log(f"gorsefork: ready on {', '.join(where)}", event="ingress.ready", listen=where,
+                 control=control)
 
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
@@ -164,18 +198,35 @@
             await trio.sleep(LOOK_EVERY)
         self.decider.post(i.Closing())
         await trio.sleep(LAST_WRITES)
+        if self.extra is not None:
+            await self.extra.finish()
 
 
 def main() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # outside of ``run`` it is to end nothing either
+    faults: tuple[type[Exception], ...] = (BadConfig, BadList, BadFile)
     try:
         config = read_config(os.environ)
-        clock = Clock()
-        trio.run(serve, config, clock, from_environment(), instruments=[clock])
-    except (BadConfig, BadList, BadFile) as error:
-        log(f"gorsefork: {error}")
+        clock, introspection, extra = Clock(), from_environment(), None
+        if (path := operator_file(os.environ)) is not None:
+            from gorsefork.life.installation import Installation
+            from gorsefork.life.operator import BadOperatorFile, at_start
+            from gorsefork.storage.database import BadState, WriteFailed
+
+            faults = (*faults, BadOperatorFile, BadState, WriteFailed)
+            if (given := at_start(path)) is not None:
+                extra = Installation(given, config, clock)
+        try:
+            trio.run(serve, config, clock, introspection, extra, instruments=[clock])
+        finally:
+            if extra is not None:
+                extra.close()
+    except faults as error:
+        for line in str(error).splitlines():
+            log(f"gorsefork: {line}")
         sys.exit(2)
 
 
-async def serve(config: Config, clock: Clock, introspection: IntrospectionConfig | None) -> None:
-    await Ingress(config, clock, introspection).run()
+async def serve(config: Config, clock: Clock, introspection: IntrospectionConfig | None,
+                extra: Installation | None) -> None:
+    await Ingress(config, clock, introspection, extra).run()
--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -36,6 +36,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
 
 
 Answer = Served | Overload | Failed | Denied
@@ -71,6 +72,8 @@
     retry: bool = False
     permit: Permit | None = None
     over: bool = False
+    contract: str = ""  # the plan that holds for it, where the book names one
+    settled: bool = False  # a good answer has come: its use is recorded, if this installation records any
     delegations: list[Delegation] = field(default_factory=list)
 
     def finish(self, answer: Answer) -> bool:
--- a/gorsefork/memory/clock.py
+++ b/gorsefork/memory/clock.py
@@ -30,6 +30,13 @@
         """A time of this clock as Unix seconds."""
         return (at + self.unix_offset) / SECOND
 
+    def unix_us(self) -> int:
+        """Now, as microseconds of Unix time. It never steps: the offset is that of the start."""
+        return self.now + self.unix_offset
+
+    def from_unix_us(self, at: int) -> int:
+        return at - self.unix_offset
+
     def from_unix_ms(self, ms: int) -> int:
         return ms * 1000 - self.unix_offset
 
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import trio
 
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import Gatekeeper
-from gorsefork.memory.call import Call, Denied, Failed, Overload, Served
+from gorsefork.memory.call import Answer, Call, Denied, Failed, Overload, Served
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.delegation import NEVER_RAN, Delegation, Ending
 from gorsefork.memory.mailbox import Mailbox
-from gorsefork.memory.ports import Boxes, Counter, Discovery, Peers
+from gorsefork.memory.ports import Boxes, Counter, Discovery, Peers, Terms, Uses
 from gorsefork.memory.registry import News
 from gorsefork.memory.timers import Timers
 
+LATE = "!"  # begins the tokens of the core's own timers
+MILLION = 1_000_000
 MOST_LETTERS = 100_000  # far above what open calls, delegations and counter calls can owe at once
 
 
@@ -38,6 +40,8 @@
         self.counter: Counter
         self.peers: Peers
         self.discovery: Discovery
+        self.terms: Terms | None = None  # the plan book, where there is one
+        self.uses: Uses | None = None  # who records use, where that is switched on
         self.sites: list[str] = []
         self.kinds: list[str] = []
         self.doers: Mapping[type, Callable[[Any], None]] = {
@@ -64,8 +68,11 @@
         self.traces[call.trace] = call
         left = (call.ends_at - self.clock.now) / SECOND
         self.calls[call.id] = call
+        terms = self.terms.terms(call.customer, call.plan, self.clock.unix_us()) if self.terms else None
+        call.contract = terms.name if terms else ""
         self.post(i.Request(call.id, call.cls, call.plan, call.customer, left, call.units, call.spread,
-                            call.first, call.retry, self.settings.classes[call.cls].effect != "repeatable"))
+                            call.first, call.retry, self.settings.classes[call.cls].effect != "repeatable",
+                            terms))
 
     def gone(self, call: Call) -> None:
         if call.abandon():
@@ -75,11 +82,37 @@
         """A good answer goes to the client by itself, at once."""
         call = delegation.call
         delegation.ended, delegation.may_have_run = True, ending.status not in NEVER_RAN
-        if ending.status == "ok":
+        if ending.status == "ok" and self.uses is None:
             call.finish(Served(ending.body, ending.media))
+        elif ending.status == "ok":
+            self.settle(self.uses, call, ending)
         latency = max(0, self.clock.now - delegation.sent_at) / SECOND
         self.post(i.Outcome(call.id, delegation.number, delegation.host, ending.status, latency,
-                            call.over, billed=ending.billed))
+                            call.over or call.settled, billed=ending.billed))
+
+    def settle(self, uses: Uses | None, call: Call, ending: Ending) -> None:
+        """The first good answer's units are recorded before the answer's first byte leaves, whoever still
+        waits for it; not kept, or not in time, the client hears that it failed."""
+        if call.settled or uses is None:
+            return
+        call.settled = True
+        micro = round((ending.billed or call.units) * MILLION)
+
+        def then(kept: bool) -> None:
+            call.finish(Served(ending.body, ending.media) if kept else Failed())
+            self.drop(call)
+
+        self.timers.set(max(self.clock.now, call.ends_at), LATE + call.id, call.id)
+        uses.record(call, micro, then)
+
+    def retold(self, customers: Iterable[str]) -> None:
+        """The terms of these customers may be others now: the module hears so for those it may know."""
+        now = self.clock.unix_us()
+        waiting = {call.customer: call for call in self.calls.values() if not call.over}
+        for customer in customers:
+            call = waiting.get(customer)
+            terms = self.terms.terms(customer, call.plan, now) if self.terms and call else None
+            self.post(i.Terms(customer, terms))
 
     def listed(self, news: News) -> None:
         entries = [
@@ -105,7 +138,11 @@
     def turn(self) -> None:
         now = self.clock.now
         events: list[i.Event] = self.mailbox.drain()
-        events += [i.Timer(token) for token in self.timers.due(now)]
+        for token in self.timers.due(now):
+            if token.startswith(LATE):
+                self.late(token.removeprefix(LATE))
+            else:
+                events.append(i.Timer(token))
         if not events:
             return
         actions = self.gate.handle(self.clock.unix(now), events)
@@ -118,10 +155,20 @@
         for item in (*events, *actions):
             if isinstance(item, i.Outcome | i.Gone | i.Refuse | i.Fail):
                 call = self.calls.get(item.id)
-                if call is not None and call.over and not call.open_delegations():
-                    del self.calls[item.id]
-                    if self.traces.get(call.trace) is call:
-                        del self.traces[call.trace]
+                if call is not None:
+                    self.drop(call)
+
+    def drop(self, call: Call) -> None:
+        """Forget a call that is over on both sides."""
+        if call.over and not call.open_delegations() and self.calls.pop(call.id, None) is not None \
+                and self.traces.get(call.trace) is call:
+            del self.traces[call.trace]
+
+    def late(self, name: str) -> None:
+        """Its use was not recorded in the call's time: nothing can be promised."""
+        if (call := self.calls.get(name)) is not None:
+            call.finish(Failed())
+            self.drop(call)
 
     # What the module asks for.
 
@@ -141,10 +188,17 @@
             call.delegations[action.attempt].call_off()
 
     def refuse(self, action: i.Refuse) -> None:
-        self.calls[action.id].finish(Overload(action.retry_after))
+        self.answer(action.id, Overload(action.retry_after))
 
     def fail(self, action: i.Fail) -> None:
-        self.calls[action.id].finish(Failed())
+        self.answer(action.id, Failed())
+
+    def answer(self, name: str, answer: Answer) -> None:
+        """The module's word on a call. Guards against one that crossed a good answer, whose use is being
+        recorded: the client is owed that answer, and the call may even be forgotten by now."""
+        call = self.calls.get(name)
+        if call is not None and not call.settled:
+            call.finish(answer)
 
     def set_timer(self, action: i.SetTimer) -> None:
         self.timers.set(self.clock.now + max(0, round(action.delay * SECOND)), action.token,
--- a/gorsefork/memory/ports.py
+++ b/gorsefork/memory/ports.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
+from gorsefork.decisions import interface as i
+from gorsefork.memory.call import Call
 from gorsefork.memory.delegation import Delegation
 
 
@@ -26,6 +29,18 @@
     def tell(self, peer: int | None, data: bytes) -> None: ...
 
 
+class Terms(Protocol):
+    """The plan book: what holds for a customer at a time, in microseconds of Unix time."""
+
+    def terms(self, customer: str, place: int, at: int) -> i.Plan | None: ...
+
+
+class Uses(Protocol):
+    """Whoever records use. ``then`` is called once, later: whether it is kept."""
+
+    def record(self, call: Call, micro: int, then: Callable[[bool], None]) -> None: ...
+
+
 class Discovery(Protocol):
     """Whoever speaks to discovery."""
 
--- /dev/null
+++ b/gorsefork/storage/uses.py
@@ -0,0 +1,74 @@
+"""Uses that wait for the accounts, on disk: all lives that have something to tell still, and this one."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from gorsefork.storage.database import Database, WriteFailed
+from gorsefork.usage.records import Batch, Use
+from gorsefork.usage.store import Unkept
+
+
+class DurableStore:
+    """A ``UseStore``. At its start earlier lives get their end: what is kept of them is all there will be."""
+
+    def __init__(self, database: Database, now: int) -> None:
+        self.database = database
+        with database.transaction("life") as sql:
+            sql.execute("""UPDATE lives SET last = max(acknowledged, coalesce(
+                (SELECT max(number) FROM uses WHERE uses.life = lives.life), 0)) WHERE last IS NULL""")
+            sql.execute("DELETE FROM lives WHERE last = 0")  # nobody ever heard of those
+            newest = sql.execute("SELECT coalesce(max(life), 0) FROM lives").fetchone()[0]
+            # Guards against a life that comes twice: not by the time alone, for clocks step, nor by a count
+            # alone, for a folder may be put back as it was.
+            self.life = max(now, int(newest) + 1)
+            sql.execute("INSERT INTO lives (life) VALUES (?)", (self.life,))
+        database.fault("life.begun")
+        self.count = int(database.sql.execute("SELECT count(*) FROM uses").fetchone()[0])
+
+    def append(self, uses: Sequence[Use]) -> None:
+        rows = [(self.life, use.number, use.customer, use.plan, use.cls, use.micro, use.at) for use in uses]
+        try:
+            with self.database.transaction("append") as sql:
+                sql.executemany("INSERT INTO uses VALUES (?, ?, ?, ?, ?, ?, ?)", rows)
+        except WriteFailed as error:
+            raise Unkept(str(error)) from None
+        self.count += len(rows)
+
+    def batch(self, most: int) -> Batch | None:
+        sql = self.database.sql
+        for life, acknowledged, last in sql.execute(
+                "SELECT life, acknowledged, last FROM lives ORDER BY life").fetchall():
+            rows = sql.execute("""SELECT number, customer, plan, class, micro, at FROM uses
+                WHERE life = ? AND number > ? ORDER BY number LIMIT ?""",
+                               (life, acknowledged, most)).fetchall()
+            closed = last is not None and acknowledged + len(rows) >= last
+            if rows or closed:
+                uses = tuple(Use(*row) for row in rows)
+                return Batch(self.database.ingress, life, acknowledged + 1, uses, acknowledged + 1, closed)
+        return None
+
+    def acknowledge(self, life: int, upto: int, closed: bool) -> None:
+        """A life whose end the accounts know has nothing more to tell, and is forgotten."""
+        with self.database.transaction("acknowledge") as sql:
+            gone = sql.execute("DELETE FROM uses WHERE life = ? AND number <= ?", (life, upto)).rowcount
+            sql.execute("UPDATE lives SET acknowledged = max(acknowledged, ?) WHERE life = ?", (upto, life))
+            if closed:
+                sql.execute("DELETE FROM lives WHERE life = ? AND last IS NOT NULL AND acknowledged >= last",
+                            (life,))
+        self.count -= gone
+
+    def probe(self) -> None:
+        try:
+            with self.database.transaction("probe") as sql:
+                sql.execute("INSERT OR REPLACE INTO meta VALUES ('probe', randomblob(512))")
+        except WriteFailed as error:
+            raise Unkept(str(error)) from None
+
+    def waiting(self) -> int:
+        return self.count
+
+    def end(self) -> None:
+        with self.database.transaction("end") as sql:
+            sql.execute("""UPDATE lives SET last = max(acknowledged, coalesce(
+                (SELECT max(number) FROM uses WHERE life = ?1), 0)) WHERE life = ?1""", (self.life,))
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -273,7 +273,7 @@
         return 503, [(b"Retry-After", advice.encode())], b""
     if isinstance(answer, Failed):
         return 502, [], b""
-    return answer.status, [(name.encode(), value.encode()) for name, value in answer.headers], b""
+    return answer.status, [(name.encode(), value.encode()) for name, value in answer.headers], answer.body
 
 
 class Acceptor:
--- /dev/null
+++ b/gorsefork/wire/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1: what both sides of several services share."""
--- /dev/null
+++ b/gorsefork/wire/http1/client.py
@@ -0,0 +1,120 @@
+"""A client of one HTTP/1.1 server: one request at a time, one connection kept between them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from gorsefork.wire.stream import Stream, connect
+
+CONNECT_WITHIN = 1.0  # s
+
+
+class NoAnswer(Exception):
+    """No whole answer came: whether the request took effect is not known. The text says why."""
+
+
+class Stale(Exception):
+    """A kept connection ended before the first byte of an answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    status: int
+    media: str
+    body: bytes
+
+
+class HttpClient:
+    """For requests that may be repeated: one that a kept connection did not answer goes out once more.
+
+    ``authorization`` goes with each request and is never shown. Not for two tasks at once.
+    """
+
+    def __init__(self, dial: str, authorization: str = "", most_body: int = 1 << 20) -> None:
+        self.dial, self.authorization, self.most_body = dial, authorization, most_body
+        self.kept: tuple[Stream, h11.Connection] | None = None
+
+    def __repr__(self) -> str:
+        return f"HttpClient({self.dial!r})"
+
+    async def ask(self, method: str, target: str, body: bytes = b"", media: str = "", within: float = 2.0,
+                  headers: tuple[tuple[str, str], ...] = ()) -> Response:
+        """The whole answer. ``NoAnswer`` if none comes ``within`` so many seconds.
+
+        A wait that is cancelled closes the connection: its answer would pass for the next one's.
+        """
+        try:
+            with trio.fail_after(within):
+                if self.kept is not None:
+                    try:
+                        return await self.round(*self.kept, method, target, body, media, headers, kept=True)
+                    except Stale:
+                        pass
+                stream = await connect(self.dial, CONNECT_WITHIN)
+                if stream is None:
+                    raise NoAnswer(f"{self.dial} takes no connection")
+                http = h11.Connection(h11.CLIENT)
+                return await self.round(stream, http, method, target, body, media, headers, kept=False)
+        except trio.TooSlowError:
+            raise NoAnswer(f"{self.dial} did not answer in {within:g} s") from None
+        except (OSError, h11.ProtocolError, trio.ClosedResourceError) as error:
+            raise NoAnswer(f"{self.dial}: {type(error).__name__}: {error}") from None
+
+    async def round(self, stream: Stream, http: h11.Connection, method: str, target: str, body: bytes,
+                    media: str, given: tuple[tuple[str, str], ...], kept: bool) -> Response:
+        self.kept = None
+        headers = [("Host", self.dial), ("Content-Length", str(len(body))), *given]
+        headers += [("Content-Type", media)] if media else []
+        headers += [("Authorization", self.authorization)] if self.authorization else []
+        events = (h11.Request(method=method, target=target, headers=headers),
+                  *([h11.Data(body)] if body else []), h11.EndOfMessage())
+        parts = [part for event in events for part in http.send_with_data_passthrough(event) or ()]
+        clean = False
+        try:
+            response = await self.converse(stream, http, parts, kept)
+            clean = http.our_state is h11.DONE and http.their_state is h11.DONE
+        finally:
+            if clean:
+                http.start_next_cycle()
+                self.kept = (stream, http)
+            else:
+                stream.close()
+        return response
+
+    async def converse(self, stream: Stream, http: h11.Connection, parts: list[bytes],
+                       kept: bool) -> Response:
+        head: h11.Response | None = None
+        body, heard = bytearray(), False
+        try:
+            await stream.send(parts)
+            while not isinstance(event := http.next_event(), h11.EndOfMessage):
+                if event is h11.NEED_DATA:
+                    data = await stream.receive()
+                    if not data and kept and not heard:
+                        raise Stale
+                    heard = True
+                    http.receive_data(data)
+                elif isinstance(event, h11.Response):
+                    head = event
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > self.most_body:
+                        raise NoAnswer(f"{self.dial}: the answer is longer than {self.most_body} bytes")
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise NoAnswer(f"{self.dial} closed with no answer")
+        except OSError:
+            if kept and not heard:
+                raise Stale from None
+            raise
+        assert head is not None
+        named = {bytes(name): bytes(value) for name, value in head.headers}
+        media = named.get(b"content-type", b"").decode("latin-1")
+        return Response(head.status_code, media, bytes(body))
+
+    def close(self) -> None:
+        if self.kept is not None:
+            self.kept[0].close()
+            self.kept = None
--- /dev/null
+++ b/gorsefork/wire/services/__init__.py
@@ -0,0 +1,1 @@
+"""Whom an ingress asks and tells, beside clients and tour boxes: the accounts, its fellows' books."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from unittest import mock
 
-from gorsefork import config as tool
+from gorsefork.cli import config as tool
 from gorsefork.life.config import BadConfig, read_config
 from gorsefork.life.introspection_config import BadFile, at_start, read
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,10 +13,15 @@
     "decisions": (),
     "memory": ("decisions",),
     "plans": ("decisions.interface",),
+    "usage": (),
+    "storage": ("memory", "plans", "usage"),
+    "wire.http1": ("wire.stream",),
+    "wire.services": ("memory", "plans", "usage", "wire.http1"),
+    "wire.fronts": ("memory", "plans", "wire.acceptor"),
 }
 NO_WIRE = ("h11", "h2", "socket", "ssl", "sqlite3", "selectors")
 NO_IO = (*NO_WIRE, "trio", "os", "pathlib", "time", "threading")  # what subsystems that decide may not touch
-NO_IO_ROOMS = ("decisions", "plans")
+NO_IO_ROOMS = ("decisions", "plans", "usage")
 
 
 def imports(path: Path) -> Iterator[str]:
@@ -30,14 +35,20 @@
 class Layers(unittest.TestCase):
     def test_each_room_imports_what_its_row_allows(self) -> None:
         for room, allowed in ROOMS.items():
-            modules = list((ROOT / room).rglob("*.py"))
+            modules = list((ROOT / room.replace(".", "/")).rglob("*.py"))
             self.assertGreater(len(modules), 1, room)
             for path in modules:
                 for name in imports(path):
                     if name.startswith("gorsefork."):
                         inside = name.removeprefix("gorsefork.")
                         self.assertTrue(inside.startswith((room, *allowed)), f"{path.name} imports {name}")
-                    self.assertNotIn(name.partition(".")[0], NO_WIRE, f"{path.name} imports {name}")
+                    top = name.partition(".")[0]
+                    if room == "storage":
+                        self.assertNotIn(top, ("h11", "socket"), f"{path.name} imports {name}")
+                    else:
+                        self.assertNotEqual(top, "sqlite3", f"{path.name} imports {name}")
+                    if not room.startswith(("wire", "storage")):
+                        self.assertNotIn(top, NO_WIRE, f"{path.name} imports {name}")
 
     def test_what_decides_does_no_input_or_output(self) -> None:
         for room in NO_IO_ROOMS:
