Test recording, export and control on sockets, with disks and callers that fail

What the new fronts and actors promise had to be seen to hold on the wire: an answer that waits for its record and no longer than its call, the door shut at the bound and with a failing disk, batches that come again unchanged after each way of not being acknowledged, changes refused whole with their reason, and found at every ingress.

--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -144,7 +144,7 @@
 
     async def catch_up(self) -> None:
         """Before this ingress is ready: what fellows have that it missed, or say that it may lack some."""
-        if self.given.control is None or not self.given.control.peers:
+        if self.given.control is None or not self.fellows.followers:
             return
         with trio.move_on_after(self.given.control.catch_up_ms / 1000):
             await self.fellows.asked.wait()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,7 +12,8 @@
     c1 close / box close                   close, or as a server reset, the connection last used
     c1 wait / box wait                     until the ingress closes that connection
     box wait idle                          no request is waiting there
-    c1 send raw TEXT                       bytes as they stand; or: raw2 TEXT, to the second front
+    c1 send GET /v1/status front=control   to the first ingress's control listener
+    c1 send raw TEXT                       bytes as they stand; or: raw2 and raw3, to the other fronts
     n1 send SIGHUP discovery=$disco2       the first ingress reads a file with these values (or: raw TEXT)
 """
 
@@ -24,20 +25,24 @@
 import struct
 import tempfile
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import trio
 
 from gorsefork.life.config import Config
+from gorsefork.life.installation import Installation
 from gorsefork.life.introspection_config import IntrospectionConfig, TenantEntry
+from gorsefork.life.operator import read
 from gorsefork.life.start import Ingress
 from gorsefork.memory.clock import Clock
+from gorsefork.plans.spreading import Follower
 from gorsefork.settings import to_settings
 from gorsefork.wire.introspection import IntrospectionFront
 from gorsefork.wire.tokens import Tenants
 
 MS = 1_000_000
-SERVERS = ("box", "box2", "oauth", "counter", "counter2", "disco", "disco2")
+SERVERS = ("box", "box2", "oauth", "counter", "counter2", "disco", "disco2", "accounts")
 CUSTOMER = "00000000b4d65521"
 DEFAULTS = {"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Contract": "rated", "X-Client-Id": CUSTOMER,
             "X-Expires-In-Ms": "3000", "X-Metering": "units=1,spread=1,first=0", "Host": "service.internal"}
@@ -108,15 +113,26 @@
 
 
 class World:
-    """Ingresses on one core each, with a stand-in for all that they speak to."""
+    """Ingresses on one core each, with a stand-in for all that they speak to.
 
-    def __init__(self, ingresses: int, keepalive: int) -> None:
+    ``operator``: an operator's TOML file for each of them; ``{n}`` in it stands for its place. Ingresses with
+    a control listener are each other's fellows, unless ``apart``.
+    """
+
+    def __init__(self, ingresses: int, keepalive: int, operator: str = "", apart: bool = False) -> None:
         self.servers = {name: Server(name) for name in SERVERS}
         self.clients: dict[str, Wire] = {}
         self.clock = Clock()
-        self.ingresses = [self.ingress(keepalive) for _ in range(ingresses)]
-
-    def ingress(self, keepalive: int) -> Ingress:
+        self.operator = operator
+        self.ingresses = [self.ingress(keepalive, n) for n in range(ingresses)]
+        controls = [each.extra.acceptor.where for each in self.ingresses
+                    if each.extra and each.extra.acceptor]
+        for ingress in self.ingresses if not apart else ():
+            if ingress.extra is not None and ingress.extra.acceptor is not None:
+                ingress.extra.fellows.followers = [
+                    Follower(dial) for dial in controls if dial != ingress.extra.acceptor.where]
+
+    def ingress(self, keepalive: int, place: int) -> Ingress:
         settings = to_settings({**SETTINGS, "limits": {**SETTINGS["limits"], "keepalive": keepalive}})
         entry = {"host": "s-1", "dial": self.servers["box"].dial, "health": "active"}
         config = Config("n0", "127.0.0.1:0", self.servers["disco"].dial, 1, settings, (), (),
@@ -124,7 +140,12 @@
         second = IntrospectionConfig(
             "guide-app", "127.0.0.1:0", self.servers["oauth"].dial, "/introspect", "me", "s3cret", 300, 250,
             8, "client_id", "", {"buy": "tour.buy"}, {"museum": TenantEntry("rated", CUSTOMER, 1, 0)})
-        return Ingress(config, self.clock, second)
+        extra = None
+        if self.operator:
+            text = re.sub(r"\$(\w+)", lambda name: self.servers[name[1]].dial, self.operator)
+            config = replace(config, name=f"n{place}")
+            extra = Installation(read(text.replace("{n}", str(place))), config, self.clock)
+        return Ingress(config, self.clock, second, extra)
 
     async def play(self, script: str) -> None:
         for line in filter(None, map(str.strip, script.splitlines())):
@@ -161,11 +182,15 @@
         if head.startswith("raw"):
             kind, _, text = rest.partition(" ")
             data = text.replace("\\n", "\r\n").encode("latin-1")
-            return await self.raw_client(who, data, front=kind == "raw2")
+            return await self.raw_client(who, data, ("raw", "raw2", "raw3").index(kind))
         method, target, *words = head.split(" ")
         given = dict(word.split("=", 1) for word in words if "=" in word)
         ingress = self.ingresses[int(given.pop("at", 0))]
-        front = ingress.acceptors["token" in given or given.pop("front", "") == "2"]
+        named_front = given.pop("front", "")
+        front = ingress.acceptors["token" in given or named_front == "2"]
+        if named_front == "control":
+            assert ingress.extra is not None and ingress.extra.acceptor is not None
+            front = ingress.extra.acceptor
         named = {name: value for name, value in given.items() if name[0].isupper()}
         headers = {**DEFAULTS, "Content-Length": str(len(body)), **named}
         if "token" in given:
@@ -175,9 +200,11 @@
         lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items() if v), "", body]
         await self.clients[who].stream.send_all("\r\n".join(lines).encode("latin-1") * times)
 
-    async def raw_client(self, who: str, data: bytes, front: bool) -> None:
+    async def raw_client(self, who: str, data: bytes, front: int) -> None:
         if who not in self.clients:
-            port = self.ingresses[0].acceptors[front].port
+            extra = self.ingresses[0].extra
+            control = [extra.acceptor] if extra is not None and extra.acceptor is not None else []
+            port = [*self.ingresses[0].acceptors, *control][front].port
             self.clients[who] = Wire(socket.create_connection(("127.0.0.1", port)))
         await self.clients[who].stream.send_all(data)
 
@@ -250,11 +277,12 @@
 
 
 def scenario(script: str, ingresses: int = 1, then: Callable[[World], Awaitable[None]] | None = None,
-             keepalive: int = 15_000 * MS, tenants: Tenants | None = None) -> None:
+             keepalive: int = 15_000 * MS, tenants: Tenants | None = None, operator: str = "",
+             apart: bool = False) -> None:
     """Play a script; what still runs at its end is cancelled."""
 
     async def main() -> None:
-        world = World(ingresses, keepalive)
+        world = World(ingresses, keepalive, operator, apart)
         for ingress in world.ingresses if tenants is not None else ():
             front = ingress.acceptors[1].front
             assert isinstance(front, IntrospectionFront) and tenants is not None
@@ -273,5 +301,8 @@
                 await then(world)
             await world.only_one_answer_each()
             nursery.cancel_scope.cancel()
+        for ingress in world.ingresses:
+            if ingress.extra is not None:
+                ingress.extra.close()
 
     trio.run(main)
