--- a/gorsefork/life/logs.py
+++ b/gorsefork/life/logs.py
@@ -52,6 +52,8 @@
         if dropped:
             fields["lines_dropped"] = dropped
         self.bound.info(event, text=text, ingress=self.ingress, **fields)
+        if self.handler.dropped:  # this line too, and with it the count that it carried
+            self.handler.dropped += dropped
 
     def close(self) -> None:
         """Give the writer a little time, and leave it if its reader takes nothing."""
