--- /dev/null
+++ b/benchmarks/rig.py
@@ -0,0 +1,231 @@
+"""The stand-ins that the measurements play with, on loopback, and an ingress as a process."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import h11
+import trio
+
+from gorsefork.usage.records import MILLION, Unreadable, decode
+from gorsefork.usage.verify import Ledger
+from gorsefork.wire.http1.client import HttpClient, NoAnswer
+
+CUSTOMERS = [f"{0xb4d65521 + n:016x}" for n in range(20)]
+PLANS = ("small-gallery", "large-museum")
+
+
+class Served:
+    """A stand-in HTTP/1.1 server on trio: ``answer`` gets each request, None closes with no answer."""
+
+    def __init__(self) -> None:
+        self.listener: trio.SocketListener
+        self.dial = ""
+
+    async def open(self, nursery: trio.Nursery) -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.dial = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        nursery.start_soon(trio.serve_listeners, self.serve, [listener])
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        http = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                request, body = None, bytearray()
+                while not isinstance(event := http.next_event(), h11.EndOfMessage):
+                    if event is h11.NEED_DATA:
+                        http.receive_data(await stream.receive_some())
+                    elif isinstance(event, h11.Request):
+                        request = event
+                    elif isinstance(event, h11.Data):
+                        body += event.data
+                    elif isinstance(event, h11.ConnectionClosed):
+                        return
+                assert request is not None
+                answer = await self.answer(request, bytes(body))
+                if answer is None:
+                    return
+                status, headers, data = answer
+                headers = [*headers, ("Content-Length", str(len(data)))]
+                head = h11.Response(status_code=status, headers=headers)
+                await stream.send_all(b"".join(http.send(each) or b"" for each in (
+                    head, h11.Data(data=data), h11.EndOfMessage())))
+                if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                    return
+                http.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def answer(self, request: h11.Request, body: bytes) -> Any:
+        raise NotImplementedError
+
+
+class Box(Served):
+    """Serves each call after a moment and settles it at units of its own; remembers them by trace."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__()
+        self.rng, self.good = rng, dict[str, tuple[int, float]]()  # units, and when they were answered
+
+    async def answer(self, request: h11.Request, body: bytes) -> Any:
+        trace = dict(request.headers)[b"x-trace-id"].decode()
+        await trio.sleep(self.rng.uniform(0.001, 0.02))
+        micro, _ = self.good[trace] = self.rng.randint(250_000, 3_000_000), time.monotonic()
+        return 200, [("X-Settled", f"{micro / MILLION:.6f}")], trace.encode()
+
+
+class Discovery(Served):
+    def __init__(self, boxes: list[Box]) -> None:
+        super().__init__()
+        self.boxes = boxes
+
+    async def answer(self, request: h11.Request, body: bytes) -> Any:
+        watch = b"wait=" in request.target
+        if watch:
+            await trio.sleep(10)
+        hosts = [{"host": f"box-{n}", "dial": box.dial, "health": "active"}
+                 for n, box in enumerate(self.boxes)]
+        news = {"seq": 1, "whole": not watch, "hosts": [] if watch else hosts}
+        return 200, [], json.dumps(news).encode()
+
+
+class CounterStandIn(Served):
+    def __init__(self) -> None:
+        super().__init__()
+        self.totals: Counter[bytes] = Counter()
+
+    async def answer(self, request: h11.Request, body: bytes) -> Any:
+        name, _, query = request.target.partition(b"?")
+        self.totals[name] += float(query.partition(b"add=")[2].partition(b"&")[0])  # type: ignore[assignment]
+        return 200, [], f"{self.totals[name]:.7g}".encode()
+
+
+class Accounts(Served):
+    """Keeps what it is sent by the project's published rules, and is often in trouble."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__()
+        self.rng, self.ledger, self.calm = rng, Ledger(), False
+        self.troubles: Counter[str] = Counter()
+
+    async def answer(self, request: h11.Request, body: bytes) -> Any:
+        trouble = self.rng.random() if not self.calm else 1.0
+        if trouble < 0.05:
+            self.troubles["503 before it was kept"] += 1
+            return 503, [], b""
+        try:
+            status, upto = self.ledger.take(decode(body, "ndjson"))
+        except Unreadable as error:
+            self.troubles[f"unreadable: {error}"] += 1
+            return 400, [], b""
+        if trouble < 0.10:
+            self.troubles["broken after it was kept"] += 1
+            return None
+        if trouble < 0.13:
+            self.troubles["late"] += 1
+            await trio.sleep(0.6)
+        return status, [], json.dumps({"upto": upto}).encode()
+
+
+@dataclass(slots=True)
+class Place:
+    """Where one ingress stands: ``operator`` is its operator's file, empty for none; ``tree`` its source."""
+
+    number: int
+    of: int
+    folder: Path
+    discovery: str
+    counter: str
+    operator: str = ""
+    tree: Path = Path(__file__).parents[1]
+    port: int = field(default_factory=lambda: free_port())
+
+
+class Ingress:
+    """One ingress as a process; ``kill`` is SIGKILL, ``start`` then finds its folder as that left it."""
+
+    def __init__(self, place: Place) -> None:
+        self.place, self.port = place, place.port
+        self.process: subprocess.Popen[bytes] | None = None
+        self.killed: list[float] = []
+
+    def write(self) -> None:
+        place = self.place
+        plans = [{"name": name, "rate": 5000.0, "depth": 10_000.0} for name in PLANS]
+        settings = {
+            "balancers": place.of, "me": place.number, "step": 4_000_000,
+            "classes": [{"name": "look", "aim": 1_000_000_000, "deadline": 3_000_000_000},
+                        {"name": "buy", "aim": 1_000_000_000, "deadline": 3_000_000_000, "effect": "by_key",
+                         "keyScope": "cell", "window": 10_000_000_000}],
+            "tiersOfService": plans, "limits": {"maxAttempts": 3, "cancel": True, "retryAfter": True,
+                                                "maxRetryAfter": 500_000_000, "connectTimeout": 250_000_000},
+            "familyInfo": {"sharedCounter": True, "countWait": 80_000_000, "settles": True, "maxUnits": 6},
+            "invariants": {"drainGrace": 250_000_000, "coldShare": 1.0, "rampTime": 1_000_000}}
+        config = {"name": f"n{place.number}", "listen": f"127.0.0.1:{place.port}", "seed": str(place.number),
+                  "discovery": place.discovery, "counter": place.counter, "settings": settings}
+        (place.folder / "config.json").write_text(json.dumps(config))
+        if place.operator:
+            (place.folder / "operator.toml").write_text(place.operator)
+
+    def start(self) -> None:
+        env = {**os.environ, "PROXY_CONFIG": str(self.place.folder / "config.json")}
+        env.pop("GORSEFORK_OPERATOR", None)
+        if self.place.operator:
+            env["GORSEFORK_OPERATOR"] = str(self.place.folder / "operator.toml")
+        with (self.place.folder / "log").open("ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "gorsefork"], env=env, stderr=log,
+                                            cwd=self.place.tree)
+
+    def kill(self) -> None:
+        assert self.process is not None
+        self.killed.append(time.monotonic())
+        self.process.kill()
+        self.process.wait()
+
+    def drain(self) -> int:
+        assert self.process is not None
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(20)
+
+    def cpu_s(self) -> float:
+        """User and system time so far, in seconds (proc(5), /proc/PID/stat)."""
+        assert self.process is not None
+        parts = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory_mb(self) -> float:
+        """Resident memory now, in MiB (proc(5), VmRSS)."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("VmRSS:")[2].split()[0]) / 1024
+
+    async def ready(self) -> None:
+        """Until ``/healthz`` says so."""
+        with trio.fail_after(10):
+            while True:
+                client = HttpClient(f"127.0.0.1:{self.port}")
+                try:
+                    if (await client.ask("GET", "/healthz", within=1.0)).status == 200:
+                        return
+                except NoAnswer:
+                    await trio.sleep(0.05)
+                finally:
+                    client.close()
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -168,6 +168,24 @@
 
         scenario("", ingresses=3, operator=CONTROL, then=main)
 
+    def test_a_retry_at_another_ingress_after_the_change_counts_under_the_same_name(self) -> None:
+        async def main(world: World) -> None:
+            await told(world, asks("POST", "/v1/changes", wanted()))
+            extra = world.ingresses[1].extra
+            assert extra is not None
+            while not extra.keeper.book.changes:
+                await extra.keeper.news.wait()
+            for at in (0, 1):
+                await world.play(f"c{at + 1} send GET /look at={at} X-Metering=units=6,spread=1,first=0\n"
+                                 f"box expect GET /look\nbox send 200 X-Settled=6 | x\nc{at + 1} expect 200")
+            names = []
+            for _ in (0, 1):
+                _, message = await world.servers["counter"].get.receive()
+                names.append(message.partition("?")[0].rpartition("/")[2].partition(".")[0])
+            assert names[0] == names[1] and "-" in names[0]
+
+        scenario("", ingresses=2, operator=CONTROL, then=main)
+
     def test_two_operators_at_two_ingresses_at_once_end_in_one_result(self) -> None:
         async def main(world: World) -> None:
             for at in (0, 1):
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -126,6 +126,22 @@
         ship.ended(200, 8, first=1, now=5)
         assert (ship.not_before, ship.failures, ship.problem) == (0, 0, "")
 
+    def test_accounts_silent_for_minutes_are_asked_now_and_then_and_soon_after_they_are_back(self) -> None:
+        ship, now, tries, back = shipping(), 0, 0, 600 * SECOND
+        ship.recorded(9, now)
+        while True:
+            wake = ship.wake_at()
+            assert wake is not None
+            now = max(now, wake)
+            ship.begin()
+            tries += 1
+            if now >= back:
+                break
+            now += 3 * SECOND  # a time-out each
+            ship.ended(0, None, first=1, now=now)
+        assert tries < 40 and now - back <= LONGEST
+        assert ship.ended(200, 8, first=1, now=now) == "kept" and ship.not_before == 0
+
     def test_a_batch_too_large_is_halved_and_grows_again(self) -> None:
         ship = shipping()
         sizes = []
