--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -186,6 +186,21 @@
 
         scenario("", ingresses=2, operator=CONTROL, then=main)
 
+    def test_a_token_calls_terms_come_from_the_book_too(self) -> None:
+        async def main(world: World) -> None:
+            await told(world, asks("POST", "/v1/changes", wanted()))
+            await world.play("""
+                c1 send GET /look token=t1
+                oauth expect POST /introspect
+                oauth send 200 Content-Type=application/json | {"active":true,"client_id":"museum"}
+                box expect GET /look
+                box send 200 X-Settled=6 | x
+                c1 expect 200""")
+            _, message = await world.servers["counter"].get.receive()
+            assert "-" in message.partition("?")[0]
+
+        scenario("", operator=CONTROL, then=main)
+
     def test_two_operators_at_two_ingresses_at_once_end_in_one_result(self) -> None:
         async def main(world: World) -> None:
             for at in (0, 1):
