--- a/tests/accounts_standin.py
+++ b/tests/accounts_standin.py
@@ -69,7 +69,7 @@
     """``script`` names the troubles of the first batches, one by one; after them ``odds`` are drawn for each.
 
     Breaks after: the batch is kept, and the connection ends before that is said. Late: the answer comes after
-    the sender's patience, and with stalls none ever. Repeats: the receipt stands twice. Lies: it names a number
+    the sender's patience, and with stalls never. Repeats: the receipt stands twice. Lies: it names a number
     that was never sent.
     """
 
