--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -298,7 +298,8 @@
                 await ingress.ready.wait()
             await world.play(script)
             if then is not None:
-                await then(world)
+                with trio.fail_after(20):
+                    await then(world)
             await world.only_one_answer_each()
             nursery.cancel_scope.cancel()
         for ingress in world.ingresses:
