Survive a disk that does not take an acknowledgement

A full disk refuses the note of what the accounts have, too: that ended the whole program. It is now a failed batch, which goes once more and is dropped there as a repeat; the end of a life that cannot be noted is told by the next one. A change that cannot be kept is seen to have no effect (507).

--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -24,7 +24,7 @@
 from gorsefork.storage.recorder import Recorder, Shelf
 from gorsefork.storage.uses import DurableStore
 from gorsefork.usage.records import MILLION
-from gorsefork.usage.store import UseStore, VolatileStore
+from gorsefork.usage.store import Unkept, UseStore, VolatileStore
 from gorsefork.wire.acceptor import Acceptor
 from gorsefork.wire.fronts.control import ControlFront
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
@@ -160,7 +160,11 @@
             return
         self.exporting.cancel()
         await trio.lowlevel.checkpoint()
-        await self.shelf.run(self.shelf.store.end)
+        try:
+            await self.shelf.run(self.shelf.store.end)
+        except Unkept as error:
+            self.log(f"the end of this life is told by the next: {error}", event="usage.end_unkept",
+                     reason=str(error))
         with trio.move_on_after(LAST_EXPORT):
             if self.exporter.shipping.state == "sending":  # cut off: that batch goes once more
                 self.exporter.shipping.nothing()
--- a/gorsefork/life/keeper.py
+++ b/gorsefork/life/keeper.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 import trio
@@ -169,6 +169,3 @@
                     return
                 gone = self.book.missing_in(book)
                 self.contracts.take(book, gone, self.clock.unix_us())
-
-
-Wait = Callable[[float], Awaitable[None]]
--- a/gorsefork/storage/uses.py
+++ b/gorsefork/storage/uses.py
@@ -50,12 +50,16 @@
 
     def acknowledge(self, life: int, upto: int, closed: bool) -> None:
         """A life whose end the accounts know has nothing more to tell, and is forgotten."""
-        with self.database.transaction("acknowledge") as sql:
-            gone = sql.execute("DELETE FROM uses WHERE life = ? AND number <= ?", (life, upto)).rowcount
-            sql.execute("UPDATE lives SET acknowledged = max(acknowledged, ?) WHERE life = ?", (upto, life))
-            if closed:
-                sql.execute("DELETE FROM lives WHERE life = ? AND last IS NOT NULL AND acknowledged >= last",
-                            (life,))
+        try:
+            with self.database.transaction("acknowledge") as sql:
+                gone = sql.execute("DELETE FROM uses WHERE life = ? AND number <= ?", (life, upto)).rowcount
+                sql.execute("UPDATE lives SET acknowledged = max(acknowledged, ?) WHERE life = ?",
+                            (upto, life))
+                if closed:
+                    sql.execute("DELETE FROM lives WHERE life = ? AND acknowledged >= last",
+                                (life,))
+        except WriteFailed as error:
+            raise Unkept(str(error)) from None
         self.count -= gone
 
     def probe(self) -> None:
@@ -69,6 +73,9 @@
         return self.count
 
     def end(self) -> None:
-        with self.database.transaction("end") as sql:
-            sql.execute("""UPDATE lives SET last = max(acknowledged, coalesce(
-                (SELECT max(number) FROM uses WHERE life = ?1), 0)) WHERE life = ?1""", (self.life,))
+        try:
+            with self.database.transaction("end") as sql:
+                sql.execute("""UPDATE lives SET last = max(acknowledged, coalesce(
+                    (SELECT max(number) FROM uses WHERE life = ?1), 0)) WHERE life = ?1""", (self.life,))
+        except WriteFailed as error:
+            raise Unkept(str(error)) from None
--- a/gorsefork/usage/store.py
+++ b/gorsefork/usage/store.py
@@ -27,7 +27,8 @@
         ...
 
     def acknowledge(self, life: int, upto: int, closed: bool) -> None:
-        """The accounts have all of that life up to there, and know its end if ``closed``."""
+        """The accounts have all of that life up to there, and know its end if ``closed``. ``Unkept``: they
+        will be sent it again."""
         ...
 
     def probe(self) -> None:
@@ -39,7 +40,7 @@
         ...
 
     def end(self) -> None:
-        """This life is over: its last number is final."""
+        """This life is over: its last number is final. ``Unkept``: the next life will find that out."""
         ...
 
 
--- a/gorsefork/wire/services/accounts.py
+++ b/gorsefork/wire/services/accounts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
@@ -13,7 +13,7 @@
 from gorsefork.memory.clock import Clock
 from gorsefork.usage.records import MEDIA, Batch, Form, Receipt
 from gorsefork.usage.shipping import Shipping, Verdict
-from gorsefork.usage.store import UseStore
+from gorsefork.usage.store import Unkept, UseStore
 from gorsefork.wire.http1.client import HttpClient, NoAnswer
 
 T = TypeVar("T")
@@ -89,11 +89,17 @@
         status, upto = await self.post(batch)
         if upto is not None and upto > batch.last:
             status, upto = 0, None  # they cannot have what was never sent: nothing of it is believed
+        fault = ""
+        if status == 200 and upto is not None and upto >= batch.first - 1:
+            kept, closed = upto, batch.closed and upto == batch.last
+            try:
+                await self.shelf.run(lambda: self.shelf.store.acknowledge(batch.life, kept, closed))
+            except Unkept as error:
+                # Guards against a full disk, which does not take this either: they are sent it once more.
+                status, upto, fault = 0, None, f"what the accounts have cannot be noted: {error}"
         verdict = self.shipping.ended(status, upto, batch.first, self.clock.now)
+        self.shipping.problem = fault or self.shipping.problem
         if verdict == "kept":
-            assert upto is not None
-            closed = batch.closed and upto == batch.last
-            await self.shelf.run(lambda: self.shelf.store.acknowledge(batch.life, upto, closed))
             self.changed()
             self.log(f"accounts have all up to {upto} of life {batch.life}", event="usage.acknowledged",
                      life=batch.life, upto=upto, waiting=self.shelf.store.waiting())
@@ -122,6 +128,3 @@
         """Send until nothing is left or one is not kept; for the end of a life."""
         while self.shipping.state != "sending" and await self.ship():
             pass
-
-
-Flush = Callable[[], Awaitable[None]]
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -17,7 +17,7 @@
 from gorsefork.storage.recorder import Recorder, Shelf
 from gorsefork.storage.uses import DurableStore
 from gorsefork.usage.records import Form
-from gorsefork.usage.store import UseStore, VolatileStore
+from gorsefork.usage.store import Unkept, UseStore, VolatileStore
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
 
 TROUBLES: list[Trouble] = ["refuses", "breaks before", "breaks after", "late", "stalls", "repeats", "lies",
@@ -65,6 +65,24 @@
         nursery.cancel_scope.cancel()
 
 
+def test_a_disk_that_does_not_take_an_acknowledgement_costs_a_repeat_and_nothing_else(tmp_path: Path) -> None:
+    accounts, database = Accounts(random.Random(3), odds={}), Database(tmp_path / "n0", "n0", "normal")
+    store, faults = DurableStore(database, 7), ["full", "full", "full"]
+    acknowledge = store.acknowledge
+
+    def failing(life: int, upto: int, closed: bool) -> None:
+        if faults:
+            raise Unkept(faults.pop())
+        acknowledge(life, upto, closed)
+
+    store.acknowledge = failing  # type: ignore[method-assign]
+    with mock.patch("gorsefork.usage.shipping.SHORTEST", 5_000):
+        trio.run(day, store, accounts, "ndjson", True)
+    (life,) = accounts.ledger.lives()
+    assert life.whole and life.records == USES and life.repeats >= 3 and not faults
+    database.close()
+
+
 @pytest.mark.parametrize("form", ["ndjson", "msgpack"])
 @pytest.mark.parametrize("durable", [True, False])
 def test_all_uses_are_there_once_after_every_trouble(form: Form, durable: bool, tmp_path: Path) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -152,6 +152,25 @@
     scenario("", operator=CONTROL, then=main)
 
 
+def test_a_change_that_the_disk_does_not_take_has_no_effect_and_says_so() -> None:
+    async def main(world: World) -> None:
+        extra = world.ingresses[0].extra
+        assert extra is not None
+
+        async def full(changes: Any) -> None:
+            raise OSError("database or disk is full")
+
+        save = extra.keeper.shelf.save
+        extra.keeper.shelf.save = full  # type: ignore[method-assign]
+        said = await told(world, asks("POST", "/v1/changes", wanted(), "k1"), 507)
+        assert "cannot be kept" in said["error"] and not extra.keeper.book.changes
+        extra.keeper.shelf.save = save  # type: ignore[method-assign]
+        await told(world, asks("POST", "/v1/changes", wanted(), "k1"))
+        assert len(extra.keeper.book.changes) == 1
+
+    scenario("", operator=CONTROL, then=main)
+
+
 class TestSpreading:
     def test_a_change_made_at_one_ingress_is_found_at_all_others(self) -> None:
         async def main(world: World) -> None:
