--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
     "grpc": ("decisions.interface",),
     "storage": ("memory", "plans", "usage"),
     "wire.http1": ("wire.stream",),
+    "wire.http2": (),
     "wire.services": ("memory", "plans", "usage", "wire.http1"),
     "wire.fronts": ("memory", "plans", "wire.acceptor"),
 }
