Take GOAWAY out of what a server sends before h2 sees it

RFC 9113, 6.8, lets streams up to the last id of a GOAWAY go on to their end. h2 closes the whole connection there: seen with its own client, the next head raised 'RECV_HEADERS in state CLOSED'. A keyed call below the id would be cut, though it may have run.

Tests at six cuts, with GOAWAY-like bytes inside a body, and of a stream that ends after the frame.

--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -10,6 +10,7 @@
 import pytest
 
 from gorsefork.wire.http2.budget import ALLOWED, SECOND, FrameBudget, Kind
+from gorsefork.wire.http2.goaway import BadGoAway, GoAway, Sieve
 from gorsefork.wire.http2.session import Body, Bounds, Ended, Event, Finished, Opened, Reset, ServerSession
 
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
@@ -211,3 +212,39 @@
     while (size := client.server.send(1, data[sent:])) > 0:
         sent += size
     assert sent == 65_535 and client.server.room(1) == 0
+
+
+def going(last: int, code: int = 0, debug: bytes = b"") -> bytes:
+    return frame(GOAWAY, 0, 0, struct.pack(">II", last, code) + debug)
+
+
+@pytest.mark.parametrize("step", [1, 2, 7, 9, 10, 1000])
+def test_goaway_is_taken_out_and_all_else_passes_as_it_came_however_it_is_cut(step: int) -> None:
+    """A GOAWAY-like byte inside a body is no GOAWAY."""
+    rest = [frame(SETTINGS, 0, 0), frame(DATA, 0, 1, going(9) * 3), frame(PING, 0, 0, b"\7" * 8)]
+    data = rest[0] + going(5) + rest[1] + going(3, 2, b"bye") + rest[2]
+    sieve, through, found = Sieve(), b"", list[GoAway]()
+    for at in range(0, len(data), step):
+        part, more = sieve.feed(data[at: at + step])
+        through, found = through + part, found + more
+    assert through == b"".join(rest) and found == [GoAway(5, 0), GoAway(3, 2)] and sieve.held == b""
+
+
+def test_a_stream_below_the_last_id_goes_on_to_its_end_after_goaway() -> None:
+    client, sieve = Client(), Sieve()
+    client.h2.send_headers(1, HEAD, end_stream=True)
+    client.pass_on()
+    client.server.head(1, [(b":status", b"200")])
+    client.server.head(1, [(b"grpc-status", b"0")], ends=True)
+    through, found = sieve.feed(going(1) + client.server.pending())
+    assert found == [GoAway(1, 0)]
+    assert any(isinstance(event, h2.events.TrailersReceived) for event in client.h2.receive_data(through))
+
+
+@pytest.mark.parametrize(("bad", "code"), [
+    (frame(GOAWAY, 0, 1, b"\0" * 8), 0x1), (frame(GOAWAY, 0, 0, b"\0" * 7), 0x6),
+    (frame(GOAWAY, 0, 0, b"\0" * 20_000), 0x6)])
+def test_a_goaway_that_is_none_has_its_error(bad: bytes, code: int) -> None:
+    with pytest.raises(BadGoAway) as refused:
+        Sieve().feed(bad)
+    assert refused.value.code == code
