Survive a fellow's change that cannot be kept, and ask for it again

On reading the change again: a full disk, met while learning what a fellow has, raised through the task that follows it and ended the ingress. A change refused for a clock that ran ahead was never asked for again, and the book's bounds did not hold for what others had made.

Learning now says what has to be asked for again, the follower keeps its position and backs off, and the bounds hold for every change. A clock ahead answers 425. Dead code in the operator's settings is gone.

One test more in three parts; with the disk's guard and with the bound's guard out it fails.

--- a/gorsefork/life/keeper.py
+++ b/gorsefork/life/keeper.py
@@ -15,6 +15,7 @@
 
 RETENTION = 90 * 86_400 * SECOND  # us: what has held no more for so long is forgotten
 TIDY_EVERY = 3600.0  # s
+PASSING = (425, 507)  # refusals that may be none later: a clock that runs ahead, no room
 
 
 class Log(Protocol):
@@ -87,8 +88,12 @@
                 await self.take([change])
         return change
 
-    async def learn(self, changes: Sequence[Change]) -> None:
-        """What a fellow has and this ingress lacks. One that this one must refuse hinders no other."""
+    async def learn(self, changes: Sequence[Change]) -> str:
+        """What a fellow has and this ingress lacks. One that this one must refuse hinders no other.
+
+        Why some of it has to be asked for again; empty if nothing: a clock may be set right, a disk freed.
+        """
+        later = ""
         async with self.turn:
             fresh, book = [], self.book
             for change in changes:
@@ -97,14 +102,19 @@
                 try:
                     check(change.act)
                     self.stamps.heard(change.stamp, self.clock.unix_us())
-                    book = book.adding(change)
+                    book = book.adding_within(change)
                 except Refused as refused:
+                    later = later or (str(refused) if refused.status in PASSING else "")
                     self.log(f"change {change.number} was not taken: {refused}", event="plan.refused",
                              number=str(change.number), reason=str(refused))
                 else:
                     fresh.append(change)
             if fresh:
-                await self.take(fresh)
+                try:
+                    await self.take(fresh)
+                except Refused as refused:  # the disk: a fellow's news is not to end this ingress
+                    later = str(refused)
+        return later
 
     async def take(self, changes: Sequence[Change]) -> None:
         try:
--- a/gorsefork/life/operator.py
+++ b/gorsefork/life/operator.py
@@ -7,7 +7,6 @@
 
 import os
 import tomllib
-from collections.abc import Mapping
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Literal
@@ -136,8 +135,3 @@
     if not 16 <= len(value) <= 256 or not value.isascii() or not value.isprintable() or " " in value:
         raise BadOperatorFile(f"{section}.key_file: must hold 16 to 256 printable characters without spaces")
     return value
-
-
-def named(env: Mapping[str, str]) -> Path | None:
-    """The file that ``GORSEFORK_OPERATOR`` names."""
-    return Path(env["GORSEFORK_OPERATOR"]) if env.get("GORSEFORK_OPERATOR") else None
--- a/gorsefork/plans/book.py
+++ b/gorsefork/plans/book.py
@@ -67,6 +67,17 @@
         keys = self.keys.set(change.key, change.number) if change.key else self.keys
         return Book(self.changes.set(change.number, change), of, everyones, keys, self.horizon)
 
+    def adding_within(self, change: Change) -> Book:
+        """The same, within the bounds, which hold for what others made too."""
+        self.check_room(change)
+        return self.adding(change)
+
+    def check_room(self, change: Change) -> None:
+        if len(self.changes) >= MOST_CHANGES:
+            raise Refused(f"the book is full: {MOST_CHANGES} changes", 507)
+        if change.customer is not None and len(self.of.get(change.customer, ())) >= MOST_OF_ONE:
+            raise Refused(f"customer {change.customer} has {MOST_OF_ONE} changes", 507)
+
     def asked_before(self, key: str) -> Change | None:
         number = self.keys.get(key) if key else None
         return None if number is None else self.changes[number]
@@ -154,10 +165,7 @@
         act = change.act
         if change.stamp < self.horizon:
             raise Refused(f"stamp: this book goes back to {self.horizon} only", 410)
-        if len(self.changes) >= MOST_CHANGES:
-            raise Refused(f"the book is full: {MOST_CHANGES} changes", 507)
-        if change.customer is not None and len(self.of.get(change.customer, ())) >= MOST_OF_ONE:
-            raise Refused(f"customer {change.customer} has {MOST_OF_ONE} changes", 507)
+        self.check_room(change)
         if isinstance(act, Cancel):
             number = Number.read(act.number)
             target = self.changes.get(number)
--- a/gorsefork/plans/changes.py
+++ b/gorsefork/plans/changes.py
@@ -155,5 +155,5 @@
     def heard(self, stamp: int, now: int) -> None:
         """Guards against a machine whose clock runs ahead: its stamps would outrank every later change."""
         if stamp > now + self.MOST_AHEAD:
-            raise Refused(f"stamp: {(stamp - now) / SECOND:.0f} s ahead of this ingress's clock", 409)
+            raise Refused(f"stamp: {(stamp - now) / SECOND:.0f} s ahead of this ingress's clock", 425)
         self.last = max(self.last, stamp)
--- a/gorsefork/wire/services/fellows.py
+++ b/gorsefork/wire/services/fellows.py
@@ -30,7 +30,7 @@
     """One task a fellow. What a fellow tells that cannot be read is a fault of that fellow alone."""
 
     def __init__(self, dials: Sequence[str], authorization: str, clock: Clock, seed: int,
-                 learn: Callable[[Sequence[Change]], Awaitable[None]], log: Log) -> None:
+                 learn: Callable[[Sequence[Change]], Awaitable[str]], log: Log) -> None:
         self.followers = [Follower(dial) for dial in dials]
         self.authorization, self.clock, self.learn, self.log = authorization, clock, learn, log
         self.rng = random.Random(seed)
@@ -74,7 +74,8 @@
             return str(error)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return f"sent what cannot be read: {error}"
-        await self.learn(page.changes)
+        if problem := await self.learn(page.changes):
+            return problem  # and the same is asked for again, later
         follower.heard(page, self.clock.now)
         if not page.changes and wait_ms < 1000 and page.position == page.newest:
             follower.ask_at = self.clock.now + SECOND // 20
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import msgspec
 import pytest
@@ -108,7 +109,7 @@
         await told(world, asks("PUT", "/v1/changes/1@n5", made["change"], who="c7"), 400)
         ahead = Change(Clock().unix_us() + 2 * Stamps.MOST_AHEAD, "n5", SetPlan(CUSTOMER, "rated", 1), "zoe")
         line = asks("PUT", f"/v1/changes/{ahead.number}", msgspec.to_builtins(ahead), who="c6")
-        assert "ahead of this ingress's clock" in (await told(world, line, 409))["error"]
+        assert "ahead of this ingress's clock" in (await told(world, line, 425))["error"]
 
     scenario("", operator=CONTROL, then=main)
 
@@ -273,7 +274,17 @@
             now = Clock().unix_us()
             ahead = Change(now + 2 * Stamps.MOST_AHEAD, "n9", SetPlan(CUSTOMER, "rated", 1), "zoe")
             good = Change(now, "n9", SetPlan(OTHER, "rated", 1), "zoe")
-            await extra.keeper.learn([ahead, good])
+            assert "ahead" in await extra.keeper.learn([ahead, good])
+            assert set(extra.keeper.book.changes) == {good.number}
+            third = Change(now + 1, "n9", SetPlan(OTHER, "rated", 1), "zoe")
+            with mock.patch("gorsefork.plans.book.MOST_CHANGES", 1):
+                assert "full" in await extra.keeper.learn([third])
+
+            async def full(changes: Any) -> None:
+                raise OSError("no room")
+
+            extra.keeper.shelf.save = full  # type: ignore[method-assign]
+            assert "no room" in await extra.keeper.learn([third])
             assert set(extra.keeper.book.changes) == {good.number}
 
         scenario("", operator=CONTROL, then=main)
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -10,7 +10,7 @@
 import pytest
 
 from gorsefork.life.logs import MOST_WAITING, Logs
-from gorsefork.life.operator import BadOperatorFile, Operator, at_start, named, read, secret
+from gorsefork.life.operator import BadOperatorFile, Operator, at_start, read, secret
 
 GOOD = """
 [control]
@@ -64,7 +64,6 @@
     path.write_bytes(b"\xff\xfe")
     with pytest.raises(BadOperatorFile, match="file: "):
         at_start(path)
-    assert named({"GORSEFORK_OPERATOR": str(path)}) == path and named({}) is None
 
 
 def test_a_key_is_read_from_a_file_that_only_its_owner_reads(tmp_path: Path) -> None:
