--- a/gorsefork/life/keeper.py
+++ b/gorsefork/life/keeper.py
@@ -8,6 +8,7 @@
 import trio
 
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.ports import Log
 from gorsefork.plans.book import Book
 from gorsefork.plans.changes import SECOND, Act, Change, Number, Refused, Stamps, check
 from gorsefork.plans.contracts import Contracts
@@ -18,10 +19,6 @@
 PASSING = (425, 507)  # refusals that may be none later: a clock that runs ahead, no room
 
 
-class Log(Protocol):
-    def __call__(self, text: str, /, *, event: str, **fields: object) -> None: ...
-
-
 class BookShelf(Protocol):
     """Where the book is kept; ``OSError`` if it cannot be just now. Without a disk it does nothing."""
 
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import fields, replace
 from pathlib import Path
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -18,6 +18,7 @@
 from gorsefork.life.introspection_config import BadFile, IntrospectionConfig, from_environment, tenants_of
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.deciding import Decider
+from gorsefork.memory.ports import Log
 from gorsefork.memory.registry import Registry
 from gorsefork.wire.acceptor import Acceptor
 from gorsefork.wire.boxes import Fleet
@@ -53,10 +54,6 @@
     return OPERATOR if OPERATOR.exists() else None
 
 
-class Log(Protocol):
-    def __call__(self, text: str, /, *, event: str, **fields: object) -> None: ...
-
-
 class Absent:
     """Stands where a site has no counter or no messages: nothing is added, nothing is sent."""
 
--- a/gorsefork/memory/ports.py
+++ b/gorsefork/memory/ports.py
@@ -41,6 +41,12 @@
     def record(self, call: Call, micro: int, then: Callable[[bool], None]) -> None: ...
 
 
+class Log(Protocol):
+    """Where events are told: a text for people, a stable name and its fields for programs."""
+
+    def __call__(self, text: str, /, *, event: str, **fields: object) -> None: ...
+
+
 class Discovery(Protocol):
     """Whoever speaks to discovery."""
 
--- a/gorsefork/wire/services/accounts.py
+++ b/gorsefork/wire/services/accounts.py
@@ -11,6 +11,7 @@
 import trio
 
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.ports import Log
 from gorsefork.usage.records import MEDIA, Batch, Form, Receipt
 from gorsefork.usage.shipping import Shipping, Verdict
 from gorsefork.usage.store import Unkept, UseStore
@@ -27,10 +28,6 @@
     async def run(self, what: Callable[[], T]) -> T: ...
 
 
-class Log(Protocol):
-    def __call__(self, text: str, /, *, event: str, **fields: object) -> None: ...
-
-
 @dataclass(frozen=True, slots=True)
 class AccountsAt:
     """Where the accounts are and how batches go there. ``within``: s until an answer is given up."""
--- a/gorsefork/wire/services/fellows.py
+++ b/gorsefork/wire/services/fellows.py
@@ -4,13 +4,13 @@
 
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Protocol
 from urllib.parse import urlencode
 
 import msgspec
 import trio
 
 from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.memory.ports import Log
 from gorsefork.plans.changes import Change
 from gorsefork.plans.spreading import Follower, Page
 from gorsefork.wire.http1.client import HttpClient, NoAnswer
@@ -22,10 +22,6 @@
 MEDIA = "application/msgpack"
 
 
-class Log(Protocol):
-    def __call__(self, text: str, /, *, event: str, **fields: object) -> None: ...
-
-
 class Fellows:
     """One task a fellow. What a fellow tells that cannot be read is a fault of that fellow alone."""
 
