Survive a state database that cannot be read while running

An SQLite error while the exporter looked for what waits ended the whole program.

It is now a failed look: the exporter backs off and looks again, and says so once in the log.

--- a/gorsefork/storage/uses.py
+++ b/gorsefork/storage/uses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sqlite3
 from collections.abc import Sequence
 
 from gorsefork.storage.database import Database, WriteFailed
@@ -36,6 +37,12 @@
         self.count += len(rows)
 
     def batch(self, most: int) -> Batch | None:
+        try:
+            return self.oldest(most)
+        except sqlite3.DatabaseError as error:
+            raise Unkept(str(error)) from None
+
+    def oldest(self, most: int) -> Batch | None:
         sql = self.database.sql
         for life, acknowledged, last in sql.execute(
                 "SELECT life, acknowledged, last FROM lives ORDER BY life").fetchall():
--- a/gorsefork/usage/store.py
+++ b/gorsefork/usage/store.py
@@ -23,7 +23,10 @@
         ...
 
     def batch(self, most: int) -> Batch | None:
-        """The oldest that is not acknowledged, of one life; None if there is nothing to tell."""
+        """The oldest that is not acknowledged, of one life; None if there is nothing to tell.
+
+        ``Unkept`` if it cannot be read just now.
+        """
         ...
 
     def acknowledge(self, life: int, upto: int, closed: bool) -> None:
--- a/gorsefork/wire/services/accounts.py
+++ b/gorsefork/wire/services/accounts.py
@@ -79,7 +79,15 @@
     async def ship(self) -> bool:
         """One batch; whether there was one and it was kept."""
         self.shipping.begin()
-        batch = await self.shelf.run(lambda: self.shelf.store.batch(self.shipping.size))
+        try:
+            batch = await self.shelf.run(lambda: self.shelf.store.batch(self.shipping.size))
+        except Unkept as error:
+            self.shipping.ended(0, None, 1, self.clock.now)
+            self.shipping.problem = f"what waits cannot be read: {error}"
+            if self.state != "failed":
+                self.log(self.shipping.problem, event="usage.failed", reason=str(error))
+            self.state = "failed"
+            return False
         if batch is None:
             self.shipping.nothing()
             return False
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sqlite3
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -16,7 +17,7 @@
 from gorsefork.storage.database import Database
 from gorsefork.storage.recorder import Recorder, Shelf
 from gorsefork.storage.uses import DurableStore
-from gorsefork.usage.records import Form
+from gorsefork.usage.records import Batch, Form
 from gorsefork.usage.store import Unkept, UseStore, VolatileStore
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
 
@@ -76,10 +77,18 @@
         acknowledge(life, upto, closed)
 
     store.acknowledge = failing  # type: ignore[method-assign]
+    unread, oldest = ["disk I/O error"] * 2, store.oldest
+
+    def unreadable(most: int) -> Batch | None:
+        if unread:
+            raise sqlite3.OperationalError(unread.pop())
+        return oldest(most)
+
+    store.oldest = unreadable  # type: ignore[method-assign]
     with mock.patch("gorsefork.usage.shipping.SHORTEST", 5_000):
         trio.run(day, store, accounts, "ndjson", True)
     (life,) = accounts.ledger.lives()
-    assert life.whole and life.records == USES and life.repeats >= 3 and not faults
+    assert life.whole and life.records == USES and life.repeats >= 3 and not faults and not unread
     database.close()
 
 
