Spread the fleet's watches on discovery, and let pauses after failures grow with the fleet

The calls of each ingress, from a new trace (`benchmarks/fleet_trace.py`): all begin at the same moment, get 503, and ask again every 0.1 s, 400 calls a second by 40 ingresses, over 110 failures each in 13 s and no success.

Ruled out: a dead discovery (the first whole list came in 3 ms, some watches lasted from the start); the backends refusing connections for want of room (98% of refusals came from servers that the list should no longer have named).

Cause: gorsefork/wire/discovery.py, `run`: a fixed PAUSE of 0.1 s, and a first call by everybody at once, for the whole list; memory/deciding.py, where the module's `Watch` asked for the whole list once more.

Change: the first watch begins at the known list's version, after a time of each ingress's own (0.075 s for each of the fleet, 5 s at most); failures wait 0.1 to 2 s, or 0.0125 to 0.2 s for each ingress where that is more, within a half either way (`memory/backoff.py`). A version below the known one is another discovery: the whole list is asked for.

--- /dev/null
+++ b/benchmarks/fleet_trace.py
@@ -0,0 +1,256 @@
+"""What a whole fleet did, second by second, from the logs of its ingresses.
+
+With no argument this is the ingress itself, which writes a line of figures a second to its log:
+``deploy/trace.toml`` names it as ``run``. ``python -m benchmarks.fleet_trace report DIR`` adds up the logs.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from gorsefork.decisions import interface as i
+from gorsefork.decisions.state import Ticket
+from gorsefork.life import start
+from gorsefork.memory.deciding import Decider
+from gorsefork.wire import boxes, discovery
+from gorsefork.wire.stream import connect as stream_connect
+
+MARK = "fleet-trace "
+EVERY = 1.0  # s between two lines of one ingress
+
+
+class Trace:
+    """Counts of one ingress, told and emptied once a second."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.dials: dict[str, Counter[str]] = {}
+        self.servers: dict[str, Counter[str]] = {}
+
+    def watch(self, ingress: start.Ingress) -> None:
+        decider = ingress.decider
+        handle = decider.gate.handle
+
+        def seen(now: float, events: list[i.Event]) -> Any:
+            for event in events:
+                self.event(decider, event)
+            actions = handle(now, events)
+            for action in actions:
+                self.action(decider, action)
+            return actions
+
+        give_up = decider.gate.give_up
+
+        def given_up(ticket: Ticket) -> None:
+            why = ("tried" if ticket.attempts else "lane" if ticket.reserved else
+                   "keeper" if ticket.back_in else "quota")
+            self.counts[f"up.{why}.{ticket.plan.name[:5]}"] += 1
+            give_up(ticket)
+
+        decider.gate.give_up = given_up  # type: ignore[method-assign]
+        decider.gate.handle = seen  # type: ignore[method-assign, assignment]
+
+    def event(self, decider: Decider, event: i.Event) -> None:
+        add = self.counts
+        if isinstance(event, i.Request):
+            add["arrived"] += 1
+        elif isinstance(event, i.Outcome):
+            kinds = self.servers.setdefault(event.server, Counter())
+            kinds[event.status] += 1
+            kinds[f"{event.status}.ms"] += round(event.latency * 1000)
+            add[f"out.{event.status}"] += 1
+            if event.status == "ok":
+                add["ok.ms"] += round(event.latency * 1000)
+            if event.status == "ok" and event.closed:
+                add["served"] += 1
+        elif isinstance(event, i.Counted):
+            add[f"counted.{event.status}"] += 1
+        elif isinstance(event, i.PeerMessage):
+            add["heard"] += 1
+            add[f"heard.{event.data[:1].decode('latin-1')}"] += 1
+        elif isinstance(event, i.ServerList):
+            add["lists"] += 1
+            add["entries"] += len(event.entries)
+        elif isinstance(event, i.Gone):
+            add["gone"] += 1
+
+    def action(self, decider: Decider, action: i.Action) -> None:
+        add, gate = self.counts, decider.gate
+        if isinstance(action, i.Send):
+            ticket = gate.tickets.get(action.id)
+            number = len(ticket.attempts) if ticket else 1
+            add["sent"] += 1
+            add["sent.more"] += number > 1
+            server = gate.fleet.servers.get(action.server)
+            if server is not None:
+                add["sent.cold"] += gate.fleet.warmth(server, gate.now) < 1.0
+                add["sent.suspect"] += gate.fleet.suspect(server, gate.now)
+        elif isinstance(action, i.Refuse | i.Fail):
+            call = decider.calls.get(action.id)
+            tried = call is not None and bool(call.delegations)
+            kind = "refused" if isinstance(action, i.Refuse) else "failed"
+            ticket = gate.tickets.get(action.id)
+            inside = ticket.inside if ticket else None
+            add[f"{kind}.{'tried' if tried else 'untried'}"] += 1
+            if ticket is None:  # closed with nothing open
+                add[f"{kind}.closed"] += 1
+            elif inside:
+                add[f"{kind}.inside"] += 1
+        elif isinstance(action, i.Count):
+            add["count"] += 1
+        elif isinstance(action, i.Tell):
+            add["tell"] += 1 if action.peer is not None else len(decider.settings.plans)
+
+    def line(self, ingress: start.Ingress) -> dict[str, Any]:
+        gate, fleet = ingress.decider.gate, ingress.decider.gate.fleet
+        now = ingress.clock.unix(ingress.clock.now)
+        target = gate.capacity.target
+        states = {
+            "open": gate.premium.open + gate.basic.open, "target": min(target, 1e6),
+            "chance": gate.premium.chance, "basic": gate.basic.chance, "ready": len(fleet.ready),
+            "suspects": sum(fleet.suspect(s, now) for s in fleet.ready), "barred": fleet.barred,
+            "cold": sum(fleet.warmth(s, now) < 1.0 for s in fleet.ready),
+            "silent": sum(s.silent for s in fleet.ready), "strain": gate.capacity.strain,
+            "links": ingress.fleet.links, "budget": gate.budget, "misses": gate.quota.misses,
+            "due": len(gate.quota.due), "accounts": len(gate.quota.accounts), "carry": fleet.carry,
+            "tickets": len(gate.tickets), "qrate": gate.quota.rate, "pace": fleet.pace,
+            "service": fleet.service[0][0],
+        }
+        counts, self.counts = self.counts, Counter()
+        dials, self.dials, servers, self.servers = self.dials, {}, self.servers, {}
+        return {"at": time.time(), "cpu": time.process_time(), "n": dict(counts), "is": states,
+                "dials": dials, "servers": servers}
+
+
+def traced_boxes(trace: Trace) -> None:
+    connect = stream_connect
+
+    async def counted(dial: str, timeout: float) -> Any:
+        began = time.monotonic()
+        stream = await connect(dial, timeout)
+        took = time.monotonic() - began
+        kind = "ok" if stream is not None else "refused" if took < 0.5 * timeout else "late"
+        trace.counts[f"connect.{kind}"] += 1
+        trace.counts["connect.ms"] += round(took * 1000) if stream is not None else 0
+        trace.dials.setdefault(dial, Counter())[kind] += 1
+        return stream
+
+    boxes.connect = counted  # type: ignore[attr-defined]
+
+
+def traced_discovery(trace: Trace) -> None:
+    ask = discovery.DiscoveryWatch.ask
+
+    async def timed(watch: discovery.DiscoveryWatch, stream: Any, http: Any, target: str) -> Any:
+        began, result = time.time(), "cut off"
+        try:
+            raw = await ask(watch, stream, http, target)
+            result = f"seq {raw['seq']} whole {raw['whole']} entries {len(raw['hosts'])}"
+            return raw
+        except Exception as error:
+            result = repr(error)
+            raise
+        finally:
+            print(f"asked {target} at {began:.3f} for {time.time() - began:.3f} s: {result}", file=sys.stderr)
+
+    discovery.DiscoveryWatch.ask = timed  # type: ignore[method-assign, assignment]
+
+
+def run() -> None:
+    """The ingress, with its trace."""
+    trace = Trace()
+    print("settings " + Path(os.environ["PROXY_CONFIG"]).read_text()[:9000], file=sys.stderr, flush=True)
+    traced_boxes(trace)
+    traced_discovery(trace)
+    run_parts = start.Ingress.run_parts
+
+    async def parts(ingress: start.Ingress) -> None:
+        trace.watch(ingress)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_parts, ingress)
+            while True:
+                await trio.sleep(EVERY)
+                print(MARK + json.dumps(trace.line(ingress)), file=sys.stderr, flush=True)
+
+    start.Ingress.run_parts = parts  # type: ignore[method-assign, assignment]
+    start.main()
+
+
+def read(folder: Path) -> list[tuple[str, dict[str, Any]]]:
+    lines = []
+    for path in sorted(folder.glob("*.log")):
+        for text in path.read_text(errors="replace").splitlines():
+            if MARK in text:
+                lines.append((path.stem, json.loads(text.split(MARK, 1)[1])))
+    return lines
+
+
+def report(folder: Path, step: float, columns: list[str], out: Callable[[str], None] = print) -> None:
+    """Sums of counts and means of states over the fleet, a row for each ``step`` seconds."""
+    lines = read(folder)
+    if not lines:
+        raise SystemExit(f"no trace lines in {folder}")
+    began = min(line["at"] for _, line in lines)
+    rows: dict[int, list[dict[str, Any]]] = defaultdict(list)
+    for _, line in lines:
+        rows[int((line["at"] - began) / step)].append(line)
+    total: Counter[str] = Counter()
+    for _, line in lines:
+        total.update(line["n"])
+    out("whole: " + json.dumps(dict(sorted(total.items()))))
+    states = list(lines[0][1]["is"])
+    counts = columns or [name for name, _ in total.most_common(14)]
+    out("   s  in " + " ".join(f"{name[-9:]:>9}" for name in [*counts, *states]))
+    for row, found in sorted(rows.items()):
+        sums = Counter[str]()
+        for line in found:
+            sums.update(line["n"])
+        means = [sum(line["is"][name] for line in found) / len(found) for name in states]
+        figures = " ".join([*(f"{sums[name]:9d}" for name in counts), *(f"{mean:9.2f}" for mean in means)])
+        out(f"{row * step:4.0f} {len(found):3d} {figures}")
+
+
+def hosts(folder: Path, what: str, since: float, until: float, out: Callable[[str], None] = print) -> None:
+    """New connections (``dials``) or outcomes (``servers``) by their server, between two times."""
+    lines = read(folder)
+    began = min(line["at"] for _, line in lines)
+    table: dict[str, Counter[str]] = defaultdict(Counter)
+    for _, line in lines:
+        if since <= line["at"] - began < until:
+            for dial, kinds in line[what].items():
+                table[dial].update(kinds)
+    for dial, kinds in sorted(table.items(), key=lambda item: -sum(item[1].values())):
+        out(f"{dial:>22} {dict(kinds)}")
+
+
+def main() -> None:
+    if len(sys.argv) == 1:
+        run()
+        return
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("command", choices=["report"])
+    parser.add_argument("folder", type=Path)
+    parser.add_argument("--step", type=float, default=1.0, help="seconds a row (1)")
+    parser.add_argument("--columns", default="", help="counts to show, with commas between")
+    parser.add_argument("--hosts", default="", metavar="FROM-TO", help="a row for each server instead")
+    parser.add_argument("--of", choices=["dials", "servers"], default="servers", help="which (servers)")
+    given = parser.parse_args()
+    if given.hosts:
+        since, _, until = given.hosts.partition("-")
+        hosts(given.folder, given.of, float(since), float(until))
+        return
+    report(given.folder, given.step, [name for name in given.columns.split(",") if name])
+
+
+if __name__ == "__main__":
+    main()
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -47,7 +47,7 @@
         self.doers: Mapping[type, Callable[[Any], None]] = {
             i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
             i.SetTimer: self.set_timer, i.Count: self.count, i.Tell: self.tell, i.CloseIdle: self.close_idle,
-            i.FetchList: self.fetch, i.Watch: self.fetch, i.Log: self.write_log}
+            i.FetchList: self.fetch, i.Watch: self.watch, i.Log: self.write_log}
 
     # What the fronts and the wire say.
 
@@ -213,9 +213,12 @@
     def close_idle(self, action: i.CloseIdle) -> None:
         self.boxes.close_idle(action.server)
 
-    def fetch(self, action: i.FetchList | i.Watch) -> None:
+    def fetch(self, action: i.FetchList) -> None:
         self.discovery.fetch()
 
+    def watch(self, action: i.Watch) -> None:
+        """Nothing to do: discovery's client keeps its watch up by itself."""
+
     def write_log(self, action: i.Log) -> None:
         self.log(action.text)
 
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Mapping
 from typing import Any
 
@@ -10,13 +11,17 @@
 import trio
 
 from gorsefork.decisions.interface import State
+from gorsefork.memory.backoff import Backoff
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.registry import Host, News, Registry
 from gorsefork.wire.stream import Stream, address, connect
 
 STATES: Mapping[str, State] = {"active": "ready", "leaving": "draining", "left": "gone"}
 WAIT_MS = 5000  # short enough that a silent agent is noticed and asked anew within seconds
-ANSWER_WITHIN, CONNECT_WITHIN, PAUSE = 1.0, 0.25, 0.1  # s: beyond the wait; for a connection; before a retry
+ANSWER_WITHIN, CONNECT_WITHIN = 1.0, 0.25  # s: beyond the wait; for a connection
+PAUSE, PAUSE_MOST = 0.1, 2.0  # s before a call that failed is made again: at first, and after many failures
+PAUSE_EACH, PAUSE_MOST_EACH = 0.0125, 0.2  # the same for each ingress of the fleet, where that is more
+SPREAD_EACH, SPREAD_MOST = 0.075, 5.0  # s for each over which their first watches begin; at most
 MOST_BYTES = 4 << 20
 
 
@@ -45,9 +50,15 @@
 class DiscoveryWatch:
     """Keeps a watch up. While discovery is silent the list stays as it is and the watch is tried again."""
 
-    def __init__(self, dial: str, registry: Registry, clock: Clock, version: int) -> None:
+    def __init__(self, dial: str, registry: Registry, clock: Clock, version: int,
+                 rng: random.Random, fleet: int = 1) -> None:
+        self.backoff = Backoff(max(PAUSE, PAUSE_EACH * fleet), max(PAUSE_MOST, PAUSE_MOST_EACH * fleet), rng)
         self.dial, self.registry, self.clock, self.version = dial, registry, clock, version
-        self.whole_next = True
+        self.whole_next = not registry.hosts  # what is known already is not asked for again
+        # Guards against a fleet that starts together: a watch that begins is work for discovery, one that
+        # lasts costs little, and all at once are turned away and come back as one crowd. With nothing known
+        # there is nothing to serve by until it is asked.
+        self.begin_in = 0.0 if self.whole_next else rng.uniform(0.0, min(SPREAD_MOST, SPREAD_EACH * fleet))
         self.answered = trio.Event()
         self.asking = trio.CancelScope()
 
@@ -58,13 +69,16 @@
     def move(self, dial: str) -> None:
         """A new address: it is asked at once, and for the whole list, as it may count versions anew."""
         self.dial, self.whole_next = dial, True
+        self.backoff.reached()
         self.asking.cancel()
 
     async def run(self) -> None:
+        with trio.CancelScope() as self.asking:
+            await trio.sleep(self.begin_in)
         while True:
             with trio.CancelScope() as self.asking:
                 await self.ask_there()
-                await trio.sleep(PAUSE)
+                await trio.sleep(self.backoff.missed())
 
     async def ask_there(self) -> None:
         stream = await connect(self.dial, CONNECT_WITHIN)
@@ -89,9 +103,11 @@
                 self.whole_next |= whole
                 raise
             news = read_list(raw, self.clock)
+            self.whole_next = news.version < self.version  # another discovery, or one that has begun anew
             self.version = news.version
             if (news.hosts or news.kind == "full") and not self.registry.mailbox.put(news):
                 self.whole_next = True  # a change that found no place must not be missed
+            self.backoff.reached()
             self.answered.set()
             http.start_next_cycle()
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -269,7 +269,7 @@
         server, answered = self.servers["disco"], 0
         while answered < len(self.ingresses):
             wire, message = await server.get.receive()
-            if message.startswith("GET /v1/servers HTTP"):
+            if message.startswith("GET /v1/servers"):
                 body = json.dumps({"seq": 1, "whole": False, "hosts": []})
                 head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n"
                 await wire.stream.send_all((head + body).encode())
