--- a/gorsefork/__main__.py
+++ b/gorsefork/__main__.py
@@ -8,6 +8,9 @@
     if len(sys.argv) > 1:
         from gorsefork.cli.main import main as run
     else:
+        from gorsefork.life.first_imports import load_trio
+
+        load_trio()
         from gorsefork.life.start import main as run
     run()
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,6 +17,19 @@
 from gorsefork.life.introspection_config import at_start, tenants_of
 from gorsefork.wire.tokens import TableOfTenants
 
+WATCHED = """
+import sys
+
+def heed(event, args):
+    if event in ("socket.connect", "socket.bind"):
+        print("seen", event, args[0].family.name, args[0].type.name, file=sys.stderr)
+    elif event in ("subprocess.Popen", "os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.system"):
+        print("seen", event, file=sys.stderr)
+
+sys.addaudithook(heed)
+from gorsefork.__main__ import main
+main()
+"""
 EXAMPLES = Path(__file__).parents[1] / "examples"
 
 
@@ -53,6 +66,26 @@
             program.send_signal(signal.SIGHUP)
         self.assertEqual(program.wait(3.7), 0)
 
+    def test_the_platforms_path_starts_no_process_and_reaches_others_by_ipv4_alone(self) -> None:
+        config = json.loads((self.folder / "config.json").read_text())
+        config.update(peer_listen="127.0.0.1:0", peers=["127.0.0.1:1"], peers_all="127.0.0.1:1")
+        (self.folder / "config.json").write_text(json.dumps(config))
+        env = {**os.environ, "PROXY_CONFIG": str(self.folder / "config.json")}
+        program = subprocess.Popen(
+            [sys.executable, "-c", WATCHED], env=env, stderr=subprocess.PIPE, text=True)
+        self.addCleanup(program.communicate)
+        self.addCleanup(program.kill)
+        assert program.stderr is not None
+        lines: list[str] = []
+        while not any("socket.connect" in line for line in lines) or "ready" not in "".join(lines):
+            lines.append(program.stderr.readline())
+            self.assertTrue(lines[-1], lines)
+        program.terminate()
+        lines += program.communicate(timeout=10)[1].splitlines()
+        seen = {line.strip() for line in lines if line.startswith("seen")}
+        self.assertEqual(seen, {"seen socket.bind AF_INET SOCK_STREAM", "seen socket.bind AF_INET SOCK_DGRAM",
+                                "seen socket.connect AF_INET SOCK_STREAM"})
+
     def test_a_bad_introspection_file_is_refused_with_its_key(self) -> None:
         path = self.folder / "introspection.toml"
         path.write_text((EXAMPLES / "introspection.toml").read_text().replace("small-gallery", "none-such"))
