--- a/benchmarks/fleet_trace.py
+++ b/benchmarks/fleet_trace.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 import json
+import math
 import os
 import sys
 import time
@@ -220,6 +222,44 @@
         out(f"{row * step:4.0f} {len(found):3d} {figures}")
 
 
+def totals(folder: Path, out: Callable[[str], None] = print) -> None:
+    """One day in a column: what came, what was sent and where, how it ended, and what it cost."""
+    lines = read(folder)
+    sums: Counter[str] = Counter()
+    lives: dict[str, list[float]] = defaultdict(list)
+    for name, line in lines:
+        sums.update(line["n"])
+        lives[name].append(line["cpu"])
+    starts, used = [], 0.0
+    for cpus in lives.values():
+        for before, now in itertools.pairwise([math.inf, *cpus]):
+            if now < before:  # another process than at the line before
+                starts.append(now)
+            else:
+                used += now - before
+    calls = [text for path in folder.glob("*.log") for text in path.read_text(errors="replace").splitlines()
+             if " asked " in text]
+    failed = sum(" seq " not in text for text in calls)
+    given_up = {key: value for key, value in sorted(sums.items()) if key.startswith("up.")}
+    rows: dict[str, object] = {
+        "tries": sums["arrived"], "served": sums["served"],
+        "refused or failed": sum(given_up.values()), **given_up,
+        "sent": sums["sent"], "of these further attempts": sums["sent.more"],
+        "to cold ones": sums["sent.cold"],
+        "to suspects": sums["sent.suspect"],
+        "ended in error": sums["out.error"], "turned away": sums["out.full"],
+        "called off": sums["out.cancelled"], "timed out": sums["out.timeout"],
+        "mean answer, ms": round(sums["ok.ms"] / max(1, sums["out.ok"])),
+        "connections made": sums["connect.ok"], "refused": sums["connect.refused"],
+        "not come up": sums["connect.late"],
+        "counter calls": sums["count"], "without an answer": sums["counted.timeout"] + sums["counted.full"],
+        "messages heard": sums["heard"], "discovery calls": len(calls), "failed": failed,
+        "CPU to the first second of service, s": round(sum(starts) / max(1, len(starts)), 2),
+        "CPU a try after that, ms": round(1000 * used / max(1, sums["arrived"]), 2)}
+    for name, value in rows.items():
+        out(f"{name:>40} {value}")
+
+
 def hosts(folder: Path, what: str, since: float, until: float, out: Callable[[str], None] = print) -> None:
     """New connections (``dials``) or outcomes (``servers``) by their server, between two times."""
     lines = read(folder)
@@ -244,7 +284,11 @@
     parser.add_argument("--columns", default="", help="counts to show, with commas between")
     parser.add_argument("--hosts", default="", metavar="FROM-TO", help="a row for each server instead")
     parser.add_argument("--of", choices=["dials", "servers"], default="servers", help="which (servers)")
+    parser.add_argument("--totals", action="store_true", help="the sums of the whole day instead")
     given = parser.parse_args()
+    if given.totals:
+        totals(given.folder)
+        return
     if given.hosts:
         since, _, until = given.hosts.partition("-")
         hosts(given.folder, given.of, float(since), float(until))
