Ask a customer's keeper twice before a try goes on alone, and pay for one ask once

Cause: decisions/rules.py, `ask`: one note, and notes are lost both ways. Now a keeper is asked again after 60 ms, with the same serial, and goes alone 60 ms later. A keeper says the same word again (`deal`, `Words` in state.py, 32 a customer), so that an ask whose word was lost is not paid for twice; serials begin at the life's start time.

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -33,7 +33,7 @@
 CALLS_ALL, CALLS_ALL_LEAST = 300.0, 200.0  # the same by all gatekeepers together, if that is less each
 CALLS_RISE, CALLS_GAIN = 20.0, 0.03  # calls a second gained in a second of answers; of the rate by one
 CALLS_CUT, CALLS_PAUSE, CALLS_DEPTH = 0.8, 0.5, 0.25  # kept after a miss; s between cuts; s of calls at once
-LEAST_WAIT, ASK_WAIT = 0.02, 0.1  # s between looks at one customer's room; for the word of its keeper
+LEAST_WAIT, ASK_WAIT, ASKS = 0.02, 0.06, 2  # s between looks at one customer's room; for its keeper's word
 FLUSH_SHARE, FLUSH_ALL = 0.125, 0.5  # of a span that adds may wait; where one gatekeeper sees all tries
 RESERVE = 0.15  # of the burst kept back, so that adds not yet seen do not carry a customer beyond its quota
 NAME_LIFE_MAX = 60.0  # s, the longest life of a shared count
@@ -278,13 +278,17 @@
             self.carried, self.carried_at = max(0.0, spent - self.pending), now
             self.epoch = self.short = -1
 
-    def deal(self, units: float, lease: float, now: float) -> bool:
-        """Whether there is room for a peer's try, which then takes it."""
-        if (self.plan.rate and self.mine < units) or (self.plan.parallel and self.out(now) >= self.slots):
-            return False
-        self.spend(units)
-        self.leases.append(now + lease)
-        return True
+    def deal(self, sender: int, note: Note, lease: float, now: float) -> bool:
+        """Whether there is room for a peer's try, which then takes it. The same word where it is asked again:
+        the first may have been lost, and is not to be paid for twice."""
+        if (sender, note.serial) not in self.words:
+            free = not self.plan.parallel or self.out(now) < self.slots
+            good = free and (not self.plan.rate or self.mine >= note.amount)
+            self.words.put((sender, note.serial), good)
+            if good:
+                self.spend(note.amount)
+                self.leases.append(now + lease)
+        return self.words[sender, note.serial]
 
     def whole(self) -> bool:  # or the part rounds to nothing, and only a span's total tells of room
         return self.part * self.plan.burst >= 1.0
@@ -365,13 +369,15 @@
         self.out.append(i.Tell(peer, note.packed()))
 
     def ask(self, ticket: Ticket) -> bool:
-        """Ask the keeper. With no word in time the try goes on alone: notes are lost, keepers die."""
-        if ticket.account.keeper is None:
+        """Ask the keeper; without a word once more, as notes are lost. Then it goes on alone: keepers die."""
+        if ticket.account.keeper is None or ticket.asks == ASKS:
             return False
-        self.serial, ticket.held, ticket.serial = self.serial + 1, True, self.serial + 1
-        self.asked[self.serial] = ticket
-        self.tell(ticket.account.keeper, ASK, ticket.account, ticket.request.units, self.serial)
-        self.out.append(i.SetTimer(f"a:{self.serial}", ASK_WAIT))
+        if not ticket.serial:  # one that no other life of this gatekeeper has used
+            self.serial += 1
+            ticket.serial = int(1000.0 * self.started + self.serial) % 2**32
+        ticket.held, ticket.asks, self.asked[ticket.serial] = True, ticket.asks + 1, ticket
+        self.tell(ticket.account.keeper, ASK, ticket.account, ticket.request.units, ticket.serial)
+        self.out.append(i.SetTimer(f"a:{ticket.serial}", ASK_WAIT))
         return True
 
     def heard(self, event: i.PeerMessage, lease: float, now: float) -> Ticket | None:
@@ -393,7 +399,7 @@
             account.spend(-note.amount)
             account.leases.popleft() if account.leases else None
         elif note.kind == ASK:
-            good, rate = account.deal(note.amount, lease, now), account.plan.rate
+            good, rate = account.deal(event.sender, note, lease, now), account.plan.rate
             self.set_timer(account, account.flush)
             room_in = max(0.0, note.amount - account.mine) / rate if rate else lease
             self.tell(event.sender, YES if good else NO, account, room_in, note.serial)
@@ -860,8 +866,9 @@
         elif kind == "q" and (account := self.quota.timer(rest, self.now)):
             self.admit_waits(account)
         elif kind == "a" and (asked := self.quota.asked.pop(int(rest), None)) and asked.waits():
-            asked.held, asked.serial = False, 0
-            self.seek(asked)
+            if not self.quota.ask(asked):
+                asked.held, asked.serial = False, 0
+                self.seek(asked)
         elif kind == "p" and ticket:
             self.overdue(ticket, int(number))
         elif ticket and (ticket.held if kind == "h" else kind == "d" and not ticket.streaming):
@@ -906,9 +913,7 @@
 
     def listed(self, event: i.ServerList) -> None:
         self.fleet.listed(event, self.now)
-        if event.kind != "failed":
-            self.list_misses = 0
-        elif self.settings.subscribe:
-            self.list_misses += 1
+        self.list_misses = self.list_misses + 1 if event.kind == "failed" else 0
+        if self.list_misses and self.settings.subscribe:
             pause = min(PERIOD * 2**self.list_misses, self.settings.guards.ask_within / 5)
             self.out.append(i.SetTimer("watch", pause * self.rng.uniform(0.75, 1.25)))
--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -91,6 +91,7 @@
     inside: bool = False
     reserved: bool = False
     serial: int = 0  # of the ask to the customer's keeper; 0: judged here
+    asks: int = 0  # how often its keeper was asked
     back_in: float = 0.0  # s until there may be room, as the keeper said
 
     def open_attempts(self) -> int:
@@ -170,6 +171,18 @@
         return Note(kind, tag.hex(), plan, amount, serial) if plan < plans and math.isfinite(amount) else None
 
 
+class Words(OrderedDict[tuple[int, int], bool]):
+    """A keeper's words by sender and serial. Beyond so many the oldest is forgotten: asked again it would be
+    paid for twice, after more tries of one customer than come in the time that it may be asked again."""
+
+    MOST = 32
+
+    def put(self, ask: tuple[int, int], word: bool) -> None:
+        self[ask] = word
+        while len(self) > self.MOST:
+            self.popitem(last=False)
+
+
 class Ledger:
     """What is kept of one customer between calls on its count."""
 
@@ -188,6 +201,7 @@
         self.short, self.ceiling = -1, 0.0  # last span found used up; this gatekeeper's part of the ceiling
         self.keeper: int | None = None  # the gatekeeper that keeps this account for its set, if another does
         self.leases: deque[float] = deque()  # when the open tries of peers that asked count no more
+        self.words = Words()  # on tries that peers asked about lately
         self.own_terms = False  # its plan is what was told of this customer, not what a request names
         self.carried, self.carried_at = 0.0, now  # units spent before a change, in no count of this span's
 
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -6,6 +6,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -361,3 +362,36 @@
 
     assert used(4, 40) == 40
     assert used(300, 90) <= 10
+
+
+def test_a_lost_note_is_asked_again_and_paid_for_once() -> None:
+    given = settings(gatekeepers=50, limits=POOLED, plans=[SMALL], accounting=COUNTER)
+    d = Driver(given)
+    away(d, 50)
+    first = d.made(i.Tell)[0]
+    keeper = Driver(replace(given, me=first.peer))
+    keeper.feed(i.PeerMessage(0, first.data))  # its word is lost on the way
+    d.run(0.07)
+    again = d.made(i.Tell)[1]
+    assert again == first and not d.made(i.Send)
+    keeper.feed(i.PeerMessage(0, again.data))
+    d.feed(i.PeerMessage(first.peer, keeper.made(i.Tell)[-1].data))
+    assert d.made(i.Send)[-1].id == f"r{d.ids}"
+    (account,) = keeper.gate.quota.accounts.values()
+    assert account.pending == 1.0  # one unit, of two asks
+    for serial in range(100):
+        keeper.feed(i.PeerMessage(1, Note(b"a", account.tag, 0, 0.01, serial).packed()))
+    assert len(account.words) == 32
+
+
+def test_a_gatekeepers_next_life_asks_with_other_serials() -> None:
+    serials: set[int] = set()
+    for began in (100.0, 103.0):
+        d = Driver(settings(gatekeepers=50, limits=POOLED, plans=[SMALL], accounting=COUNTER), servers=0)
+        d.now = began
+        d.feed(i.ServerList("cached", [i.ServerEntry("s0")]))
+        for n in range(20):
+            d.ask(customer=f"c{n}", spread=50)
+        notes = [Note.read(tell.data, 1) for tell in d.made(i.Tell)]
+        assert not serials & {note.serial for note in notes if note}
+        serials |= {note.serial for note in notes if note}
