--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -171,8 +171,8 @@
         chance.play(6.0)
         sent = [a.server for at, a in d.log if isinstance(a, i.Send) and at > began]
         part.append(sum(name not in warm for name in sent) / max(1, sum(name in warm for name in sent)))
-    # Twice as many as the warm ones, at 0.3 to 0.58 of their strength, late as tokens begin by chance: 0.43 where
-    # they get just that, 0.57 where tokens go unused. 2.5 times their strength is the rule's bound.
+    # Twice as many as the warm ones, at 0.3 to 0.58 of their strength, late as tokens begin by chance: 0.43
+    # where they get just that, 0.57 where tokens go unused. 2.5 times their strength is the rule's bound.
     assert 0.59 < sum(part) / len(part) < 2 * 0.44 * 2.5
 
 
