Ask the list's agent at once and again within the grace of a drain

Its first question to the list's agent comes up to 1.5 s after its start (0.075 s an ingress; 5 s with 200). The settings say that the list is pushed (`registryMode` automatic): the agent on the ingress's machine answers at no cost, and the protocol counts what it has as told, asked or not.

Ruled out: a list applied late (each ingress that ran took each change within 2 ms of its answer); a send that waits for its connection over the news (boxes.py asks the registry again just before the first byte); discovery turning calls away (no call failed).

Cause: discovery.py, `begin_in` and `Backoff`, built for a list that must be asked for and where calls cost; with the fleet's size they grow past the 0.25 s that a drain allows.

Change: with a pushed list the agent is asked at once, for what is new now (`wait=1`), before the ingress is ready (0.3 s at most), and after a failure again within 0.15 s. Where the list must be asked for, all stays.

--- a/benchmarks/fleet_trace.py
+++ b/benchmarks/fleet_trace.py
@@ -23,11 +23,12 @@
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.state import Ticket
 from gorsefork.life import start
+from gorsefork.memory.call import Answer, Call
 from gorsefork.memory.deciding import Decider
 from gorsefork.wire import boxes, discovery
 from gorsefork.wire.stream import connect as stream_connect
 
-MARK = "fleet-trace "
+MARK, CALL = "fleet-trace ", "fleet-call "
 EVERY = 1.0  # s between two lines of one ingress
 
 
@@ -66,6 +67,7 @@
         add = self.counts
         if isinstance(event, i.Request):
             add["arrived"] += 1
+            follow(decider.calls.get(event.id))
         elif isinstance(event, i.Outcome):
             kinds = self.servers.setdefault(event.server, Counter())
             kinds[event.status] += 1
@@ -123,6 +125,25 @@
                 "dials": dials, "servers": servers}
 
 
+def follow(call: Call | None) -> None:
+    """A line in the log when this call has its answer: each of its sends, how it ended, what was said."""
+    if call is None:
+        return
+    reply, began = call.reply, time.time()
+
+    def told(answer: Answer) -> None:
+        sends = [{"to": d.host, "at": round((d.sent_at - call.came_at) / 1e6, 3), "written": d.written,
+                  "ended": d.ended} for d in call.delegations]
+        print(CALL + json.dumps({
+            "trace": call.trace, "at": round(began, 3), "took": round(time.time() - began, 3),
+            "left": round((call.ends_at - call.came_at) / 1e6, 3), "class": call.cls, "plan": call.plan,
+            "customer": call.customer, "units": call.units, "retry": call.retry,
+            "answer": type(answer).__name__, "sends": sends}), file=sys.stderr, flush=True)
+        reply(answer)
+
+    call.reply = told
+
+
 def traced_boxes(trace: Trace) -> None:
     connect = stream_connect
 
@@ -160,7 +181,9 @@
 def run() -> None:
     """The ingress, with its trace."""
     trace = Trace()
-    print("settings " + Path(os.environ["PROXY_CONFIG"]).read_text()[:9000], file=sys.stderr, flush=True)
+    given = json.loads(Path(os.environ["PROXY_CONFIG"]).read_text())
+    known = len(given.pop("known", {}).get("hosts", []))
+    print(f"knows {known} servers, settings {json.dumps(given)}", file=sys.stderr, flush=True)
     traced_boxes(trace)
     traced_discovery(trace)
     run_parts = start.Ingress.run_parts
@@ -249,6 +272,17 @@
         out(f"{name:>40} {value}")
 
 
+def calls(folder: Path, wanted: str, out: Callable[[str], None] = print) -> None:
+    """Every line of a call that names this trace id, customer or server, in time order over the fleet."""
+    found = []
+    for path in sorted(folder.glob("*.log")):
+        for text in path.read_text(errors="replace").splitlines():
+            if CALL in text and wanted in text:
+                found.append((json.loads(text.split(CALL, 1)[1])["at"], path.stem, text))
+    for _, name, text in sorted(found):
+        out(f"{name:>6} {text}")
+
+
 def hosts(folder: Path, what: str, since: float, until: float, out: Callable[[str], None] = print) -> None:
     """New connections (``dials``) or outcomes (``servers``) by their server, between two times."""
     lines = read(folder)
@@ -273,8 +307,12 @@
     parser.add_argument("--columns", default="", help="counts to show, with commas between")
     parser.add_argument("--hosts", default="", metavar="FROM-TO", help="a row for each server instead")
     parser.add_argument("--of", choices=["dials", "servers"], default="servers", help="which (servers)")
+    parser.add_argument("--call", default="", metavar="ID", help="the calls with this id, customer or server")
     parser.add_argument("--totals", action="store_true", help="the sums of the whole day instead")
     given = parser.parse_args()
+    if given.call:
+        calls(given.folder, given.call)
+        return
     if given.totals:
         totals(given.folder)
         return
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -35,7 +35,7 @@
 
 CLIENT_SHARE, IDLE_SHARE = 0.4, 0.1  # of the descriptors: clients in all, and those without a request
 BOX_SHARE, SECOND_SHARE = 0.3, 0.1  # tour boxes, the second front's clients; the rest is for all else
-DISCOVERY_PATIENCE = 0.3  # s at the start for discovery's first word, where no server is known
+DISCOVERY_PATIENCE = 0.3  # s at the start for discovery's first word, before this ingress is ready
 ACCEPT_FOR = 0.45  # s after SIGTERM: the front goes on sending new connections for up to 0.4 s
 LAST_REQUESTS = 0.1  # s for the requests on the last connections to be read
 FINISH_BY = 3.3  # s after SIGTERM, the last answers; SIGKILL comes no sooner than at 3.7 s
@@ -86,7 +86,8 @@
         known = read_list(config.known, clock, cached=True)
         self.registry.apply(known)
         self.watch = DiscoveryWatch(config.discovery, self.registry, clock, known.version,
-                                    random.Random(config.seed), settings.gatekeepers)
+                                    random.Random(config.seed),
+                                    settings.gatekeepers if settings.subscribe else 0)
         absent = Absent(self.decider.post)
         self.counter = CounterClient(config.counter, clock, settings.accounting.counter_timeout,
                                      self.decider.post) if config.counter else None
@@ -171,7 +172,9 @@
             nursery.start_soon(self.become_ready)
 
     async def become_ready(self) -> None:
-        if not self.registry.hosts:  # else there is enough to serve by, and the news may take its time
+        # Guards against a send to what has left since the known list: where the list is pushed, its news
+        # count as told. Where it must be asked for, a known list is enough to serve by.
+        if not self.registry.hosts or not self.config.settings.subscribe:
             with trio.move_on_after(DISCOVERY_PATIENCE):
                 await self.watch.answered.wait()
         if self.extra is not None:
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -23,6 +23,7 @@
 PAUSE_EACH, PAUSE_MOST_EACH = 0.0125, 0.2  # the same for each ingress of the fleet, where that is more
 PAUSE_LONGEST = 10.0  # s, however large the fleet: a list that is older than this is of little use
 SPREAD_EACH, SPREAD_MOST = 0.075, 5.0  # s for each over which their first watches begin; at most
+PAUSE_AGENT = 0.1  # s before this machine's agent is asked again: a drain allows 0.25 s from the news
 MOST_BYTES = 4 << 20
 
 
@@ -49,14 +50,19 @@
 
 
 class DiscoveryWatch:
-    """Keeps a watch up. While discovery is silent the list stays as it is and the watch is tried again."""
+    """Keeps a watch up. While discovery is silent the list stays as it is and the watch is tried again.
+
+    ``fleet`` is how many ingresses share what discovery can serve. It is 0 where the list is pushed to an
+    agent on this machine: that answers at no cost, and what it has counts as told, whenever it is asked.
+    """
 
     def __init__(self, dial: str, registry: Registry, clock: Clock, version: int,
                  rng: random.Random, fleet: int = 1) -> None:
-        most = min(PAUSE_LONGEST, max(PAUSE_MOST, PAUSE_MOST_EACH * fleet))
+        most = min(PAUSE_LONGEST, max(PAUSE_MOST, PAUSE_MOST_EACH * fleet)) if fleet else PAUSE_AGENT
         self.backoff = Backoff(min(most, max(PAUSE, PAUSE_EACH * fleet)), most, rng)
         self.dial, self.registry, self.clock, self.version = dial, registry, clock, version
         self.whole_next = not registry.hosts  # what is known already is not asked for again
+        self.wait_ms = WAIT_MS if fleet else 1  # at first: an agent says at once what is new since the list
         # Guards against a fleet that starts together: a watch that begins is work for discovery, one that
         # lasts costs little, and all at once are turned away and come back as one crowd. With nothing known
         # there is nothing to serve by until it is asked.
@@ -97,7 +103,7 @@
         http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_BYTES)
         while True:
             whole, self.whole_next = self.whole_next, False
-            target = "/v1/servers" if whole else f"/v1/servers?index={self.version}&wait={WAIT_MS}"
+            target = "/v1/servers" if whole else f"/v1/servers?index={self.version}&wait={self.wait_ms}"
             try:
                 with trio.fail_after(ANSWER_WITHIN + (0 if whole else WAIT_MS / 1000)):
                     raw = await self.ask(stream, http, target)
@@ -112,6 +118,7 @@
                 self.whole_next = True  # a change that found no place must not be missed
             self.backoff.reached()
             self.answered.set()
+            self.wait_ms = WAIT_MS
             http.start_next_cycle()
 
     async def ask(self, stream: Stream, http: h11.Connection, target: str) -> Any:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import random
 
 import trio
@@ -22,10 +23,10 @@
 class TurnedAway(DiscoveryWatch):
     """Notes when it asks; every call fails at once."""
 
-    def __init__(self, me: int) -> None:
+    def __init__(self, me: int, fleet: int = FLEET) -> None:
         registry = Registry(lambda news: None, lambda host: None)
         registry.apply(News("cached", 1, (Host("box", "127.0.0.1:1", "ready"),)))
-        super().__init__("", registry, Clock(), 1, random.Random(me), FLEET)
+        super().__init__("", registry, Clock(), 1, random.Random(me), fleet)
         self.times: list[float] = []
 
     async def ask_there(self) -> None:
@@ -51,6 +52,18 @@
     assert max(sum(at <= other < at + 0.05 for other in later) for at in later) < FLEET / 4  # not in step
 
 
+def test_an_agent_is_asked_at_once_and_again_within_what_a_drain_allows() -> None:
+    watch = TurnedAway(1, fleet=0)  # the list is pushed to this machine: what the agent has counts as told
+
+    async def main() -> None:
+        with trio.move_on_after(60):
+            await watch.run()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert watch.begin_in == 0.0 and watch.wait_ms == 1
+    assert max(b - a for a, b in itertools.pairwise(watch.times)) <= 0.15  # after many failures too
+
+
 def test_a_pause_is_short_again_once_the_service_was_reached() -> None:
     backoff = Backoff(0.1, 2.0, random.Random(1))
     pauses = [backoff.missed() for _ in range(50)]
