Forget customers whose call on the counter never comes, and clear the line they stood in

Cause: state.py. An account that stands in the line for a call counts as busy and is never forgotten; where calls are short the newest goes first, so the oldest stand there for good. What has left the line stays in its heap until it comes to the front, which it never does.

Change: to stand in the line keeps no account, as what it would add was for a span long past; the line throws out what left it whenever it has doubled.

--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -219,8 +219,9 @@
         return max(0.0, self.carried - self.plan.rate * (now - self.carried_at))
 
     def busy(self) -> bool:
-        """Whether a call or a try of its own is under way or waits."""
-        return bool(self.calling or self.open or self.waits.heap or self.claims or self.due < math.inf)
+        """Whether a call or a try of its own is under way or waits. To stand in the line is not enough: where
+        calls are short some never get theirs, and what they would add was for a span long past."""
+        return bool(self.calling or self.open or self.waits.heap or self.claims)
 
     def out(self, now: float) -> int:
         """Tries open here, and at the gatekeepers of the set that asked."""
@@ -232,14 +233,22 @@
 class Line:
     """Accounts by rank, lowest first, the newest first among equals; each stands at its best rank only."""
 
+    LEAST = 64  # entries below which those that hold no more are not looked for
+
     def __init__(self) -> None:
         self.heap: list[tuple[float, int, Account]] = []
-        self.serial = 0
+        self.serial, self.most = 0, self.LEAST
 
     def push(self, rank: float, account: Account) -> None:
         self.serial += 1
         account.due = rank
         heapq.heappush(self.heap, (rank, -self.serial, account))
+        if len(self.heap) > self.most:
+            # Guards against a line that keeps all who ever stood in it: while calls are short its end is
+            # never reached, and what has left it would stay there with all that it holds.
+            self.heap = [entry for entry in self.heap if entry[2].due == entry[0]]
+            heapq.heapify(self.heap)
+            self.most = max(self.LEAST, 2 * len(self.heap))
 
     def first(self) -> Account | None:
         while self.heap and self.heap[0][2].due != self.heap[0][0]:
@@ -267,7 +276,8 @@
         for tag, old in list(islice(self.items(), 2)):
             if now - old.at < IDLE_SPANS * old.span + IDLE_ACCOUNT:
                 return
-            if old.busy():  # what is pending still, a guess settled late, was for a span long past
+            if old.busy():
                 self.move_to_end(tag)
             else:
+                old.due = math.inf  # it stands in no line any more
                 del self[tag]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -207,3 +207,25 @@
     assert not d.gate.tickets and len(d.gate.quota.accounts) < 60
     d.feed(i.ServerList("full", []))
     assert not fleet.servers and fleet.few == 0
+
+
+def test_customers_that_wait_in_vain_for_the_counter_are_forgotten() -> None:
+    plan = i.Plan("rated", rate=2.0, burst=8.0)  # a count holds for 4 s
+    given = settings(gatekeepers=4, classes=[SAFE], plans=[plan], accounting=i.Accounting(counter=True))
+    d, most, answered = Driver(given), 0, 0
+    for n in range(1500):  # ten new customers a second, and a counter that bears one call a second
+        d.ask(customer=f"c{n}", spread=2)
+        d.run(0.1)
+        for send in d.made(i.Send)[answered:]:
+            d.feed(i.Outcome(send.id, 0, send.server, "ok", 0.1, closed=True))
+        answered = len(d.made(i.Send))
+        if n % 10 == 0:
+            calls = d.made(i.Count)
+            d.feed(*[i.Counted(call.name, "timeout") for call in calls[-1:]])
+            d.log = [entry for entry in d.log if not isinstance(entry[1], i.Count | i.SetTimer)]
+        most = max(most, len(d.gate.quota.accounts))
+    line = d.gate.quota.due
+    assert most < 10 * (2.5 * 4.0 + 5.0) * 1.5  # those of their counts' lives; it was all of them
+    assert len(line.heap) <= max(line.LEAST, 2 * most)
+    standing = {account.tag for _, _, account in line.heap if account.due < float("inf")}
+    assert standing <= set(d.gate.quota.accounts)
