Test two hundred ingresses together: cold servers, ceilings in an outage, tables

Tables at 200 ingresses and 500 servers that are replaced every 12 s, with notes about customers kept here: bounded, and empty again at the end.

Each test was seen to fail with its guard taken out. Nothing of the program is changed.

--- /dev/null
+++ b/tests/test_full_fleet.py
@@ -0,0 +1,101 @@
+"""Two hundred ingresses together: the sums that the rules bound, and what each may keep. Virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+
+import pytest
+from conftest import SAFE, Driver, settings
+from test_fleet import Chance, entries
+
+from gorsefork.decisions import interface as i
+
+FLEET = 200
+CAPACITY = 20.0  # tries a second that a warm server bears
+
+
+def test_a_cold_server_stays_in_its_budget_for_the_sum_of_two_hundred() -> None:
+    guards = i.Guards(cold_share=0.31, ramp=17.0, fall_multiple=2.5, fall_window=1.5)
+    given = settings(gatekeepers=FLEET, classes=[SAFE], limits=i.Limits(), guards=guards)
+    sends: dict[str, list[float]] = defaultdict(list)
+    for me in range(FLEET):
+        d = Driver(given, servers=110, seed=me)
+        chance = Chance(d, me, rate=5.0, work=0.2)
+        chance.play(3.0)
+        d.feed(i.ServerList("full", [*entries(range(50)), *entries(range(200, 260), started=d.now)]))
+        began, chance.rate = d.now, CAPACITY * (50 + 60 * 0.4) / FLEET  # all that they bear by then
+        chance.play(3.0)
+        for at, action in d.log:
+            if isinstance(action, i.Send) and at >= began:
+                sends[action.server].append(at - began)
+    budget = guards.fall_multiple * guards.cold_share * CAPACITY * guards.fall_window  # when it is coldest
+    cold = [sorted(times) for name, times in sends.items() if int(name[1:]) >= 200]
+    window = guards.fall_window
+    most = max(sum(at <= other < at + window for other in times) for times in cold for at in times)
+    assert most <= budget
+    assert len(cold) == 60 and sum(map(len, cold)) / 60 / 3.0 > 0.15 * CAPACITY  # nor is any left idle
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_ceiling_holds_over_a_set_while_counter_and_peers_are_away(seed: int) -> None:
+    plan = i.Plan("large", rate=9.0, burst=24.0, over_worth=0.1, ceiling_rate=20.0, ceiling_burst=51.0,
+                  ceiling_slack=6.0)
+    limits = i.Limits(max_attempts=4, cancel=True, peer_messages=True)
+    rng, first = random.Random(seed), 198  # the set goes round: 198, 199, 0, 1
+
+    def ingress(place: int) -> Driver:
+        given = settings(gatekeepers=FLEET, me=(first + place) % FLEET, classes=[SAFE], plans=[plan],
+                         limits=limits, accounting=i.Accounting(counter=True))
+        return Driver(given, servers=40, seed=rng.randrange(1 << 30))
+
+    members, store, least, sent, now = [ingress(place) for place in range(4)], 51.0, 51.0, 0.0, 100.0
+    asked: dict[str, float] = {}
+    for step in range(1200):  # 30 s, three times the ceiling; most of it at one member, another one in turn
+        if step in (300, 500, 700):
+            members[step % 4] = ingress(step % 4)  # killed: it knows nothing of what it sent
+        for d in members:
+            d.now = max(d.now, now)
+        busiest = step // 200 % 4
+        d = members[busiest if rng.random() < 0.7 else rng.randrange(4)]
+        units = float(rng.randint(1, 6))
+        event = d.request(id=f"r{step}", customer="c", spread=4, first=first, units=units)
+        asked[event.id] = units
+        d.feed(event)
+        now, store = now + 0.025, min(51.0, store + 20.0 * 0.025)
+        for d in members:
+            d.run(max(0.0, now - d.now))
+            for _, action in d.log:
+                if isinstance(action, i.Send) and action.id in asked:
+                    store, sent = store - asked[action.id], sent + asked.pop(action.id)
+                    d.feed(i.Outcome(action.id, 0, action.server, "ok", 0.1, closed=True, billed=1.0))
+                elif isinstance(action, i.Count):
+                    d.feed(i.Counted(action.name, "timeout"))
+            d.log = []
+        least = min(least, store)
+    assert least >= -plan.ceiling_slack
+    assert sent > 0.4 * plan.ceiling_rate * 30.0  # and it is not kept by sending nothing
+
+
+def test_tables_stay_bounded_at_two_hundred_ingresses_and_five_hundred_servers() -> None:
+    limits = i.Limits(max_attempts=4, cancel=True, peer_messages=True)
+    plan = i.Plan("small", rate=1.0, burst=6.0)
+    given = settings(gatekeepers=FLEET, classes=[SAFE], plans=[plan], limits=limits)
+    d, answered = Driver(given, servers=0), 0
+    fleet, quota, rng, most = d.gate.fleet, d.gate.quota, random.Random(1), 0
+    for age in range(12):
+        d.feed(i.ServerList("full", entries(range(age * 250, age * 250 + 500), started=d.now)))
+        for n in range(60):
+            d.ask(customer=f"c{age}.{n}", spread=120)  # their keepers are elsewhere, and say nothing
+            note = b"a" + rng.randbytes(8) + b"\0" + b"\0\0\x80\x3f" + rng.randbytes(4)
+            d.feed(i.PeerMessage(rng.randrange(1, FLEET), note))  # and others ask for customers kept here
+            d.run(0.2)
+            for send in d.made(i.Send)[answered:]:
+                d.feed(i.Outcome(send.id, 0, send.server, "ok", 0.1, closed=True))
+            answered = len(d.made(i.Send))
+            d.log = [(at, action) for at, action in d.log if isinstance(action, i.Send)]
+        assert len(fleet.servers) <= 501 and fleet.few <= 500 and len(quota.asked) <= 10
+        most = max(most, len(quota.accounts))
+    assert most < 10 * (2.5 * 6.0 + 5.0) * 1.5  # ten new a second, for as long as their counts live
+    d.run(60.0)
+    assert not d.gate.tickets and not quota.asked
