Test the wire's tables at two hundred ingresses and five hundred servers

Need: the tables of tour boxes and of datagrams were tested with a few of each only.

Lists of 500 servers of which half are replaced eight times leave 500 boxes and 500 tasks; notes to 200 fellows that nobody sends stay at 64 a fellow, what finds no place is lost, and none is kept for this ingress itself or for one that there is none of. It fails where a box that is gone does not retire. Nothing of the program is changed.

--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -6,10 +6,16 @@
 from collections import defaultdict
 
 import pytest
+import trio
+import trio.testing
 from conftest import SAFE, Driver, settings
 from test_fleet import Chance, entries
 
 from gorsefork.decisions import interface as i
+from gorsefork.memory.clock import Clock
+from gorsefork.memory.registry import Host, News, Registry
+from gorsefork.wire.boxes import Fleet
+from gorsefork.wire.datagrams import MOST_WAITING, PeerSocket
 
 FLEET = 200
 CAPACITY = 20.0  # tries a second that a warm server bears
@@ -99,3 +105,31 @@
     assert most < 10 * (2.5 * 6.0 + 5.0) * 1.5  # ten new a second, for as long as their counts live
     d.run(60.0)
     assert not d.gate.tickets and not quota.asked
+
+
+def test_the_wires_tables_are_bounded_at_two_hundred_ingresses_and_five_hundred_servers() -> None:
+    registry = Registry(lambda news: None, lambda host: fleet.changed(host))
+    fleet = Fleet(Clock(), registry, lambda delegation, ending: None, 15.0, 0.25, 128)
+    peers = [f"127.0.0.1:{port}" for port in range(20001, 20001 + FLEET)]
+    sock = PeerSocket("127.0.0.1:0", peers, "", 0, lambda message: None)
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.run)
+            for age in range(8):
+                names = range(age * 250, age * 250 + 500)
+                hosts = tuple(Host(f"s{n}", f"127.0.0.1:{n + 1}", "ready") for n in names)
+                registry.apply(News("full", age, hosts))
+                await trio.testing.wait_all_tasks_blocked()
+                assert fleet.nursery is not None
+                assert len(fleet.boxes) == 500 == len(fleet.nursery.child_tasks) == len(registry.hosts)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock())
+    for _ in range(3):  # nobody sends them: what finds no place is lost, and no fellow takes another's
+        for peer in range(-1, FLEET + 1):
+            for _ in range(50):
+                sock.tell(peer, b"note")
+    assert len(sock.mailboxes) == FLEET and not sock.mailboxes[0].letters
+    assert all(len(sock.mailboxes[peer].letters) == MOST_WAITING for peer in range(1, FLEET))
+    sock.close()
