Leave a cold server to the ingresses that look at it, also for further attempts

Seen: a probe with 20 gatekeepers of 200, 50 warm and 60 cold servers. Of 200 further attempts 200 go to cold servers that the ingress does not look at; `test_a_further_attempt_goes_to_no_cold_server_that_others_deal_for` is that probe.

Ruled out: first attempts, whose sum over 200 gatekeepers stays in the budget (`tests/test_full_fleet.py`), and servers that no list had called cold (the rule counts only what was told).

Cause: rules.py, `cold_room`. Tokens gather at every ingress for every cold server, but the rate is reckoned for the few that look at it.

Change: an ingress has no part in a cold server outside its few.

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -21,7 +21,7 @@
 HOLD_LEFT = 0.45  # of its own time: a refusal is to leave well before half of that is over
 LEAST_OPEN, PROMPT_OPEN, STRAIN_MAX = 4.0, 4.0, 5.0  # always open a server by all; here if prompt; its limit
 CHANCE_OPEN = 2.0  # standard deviations of it by which one gatekeeper's part may be more
-COLD_DUTY, COLD_FIRST = 1.0, 0.5  # of a warm one's load, by its least warmth; of its cost: tokens go unused
+COLD_DUTY, COLD_FIRST = 0.75, 0.5  # of a warm one's load, by its least warmth; of its cost: tokens go unused
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: its fill for each first attempt, and what it holds
 SMOOTH, RECALL = 0.1, 2.0  # weight of one new sample in a moving mean; s from which it weighs more
 SLOW_MULTIPLE, ERROR_SHARE = 2.5, 0.3  # times peers' latency, failures beyond theirs: passed by
@@ -77,8 +77,8 @@
     def cold_room(self, server: Server, now: float) -> bool:
         """Slow start: a share of what a warm one carries from here, in whole tokens begun by chance."""
         warmth = self.warmth(server, now)
-        if warmth >= 1.0:
-            return True
+        if warmth >= 1.0 or server.place > self.ready[self.few - 1].place:  # it has no part in those it skips
+            return warmth >= 1.0
         lookers = self.settings.gatekeepers * max(1, self.few) / max(1, len(self.ready))  # that deal its part
         rate = COLD_DUTY * warmth * max(self.carry, 1.0 / lookers / self.work)
         since, server.filled_at = max(server.filled_at, server.cold_from), now
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -133,3 +133,24 @@
     assert len(sock.mailboxes) == FLEET and not sock.mailboxes[0].letters
     assert all(len(sock.mailboxes[peer].letters) == MOST_WAITING for peer in range(1, FLEET))
     sock.close()
+
+
+def test_a_further_attempt_goes_to_no_cold_server_that_others_deal_for() -> None:
+    guards = i.Guards(cold_share=0.31, ramp=17.0, fall_multiple=2.5, fall_window=1.5)
+    limits, further, cold = i.Limits(max_attempts=4), 0, 0
+    for me in range(20):
+        given = settings(gatekeepers=FLEET, me=me, classes=[SAFE], limits=limits, guards=guards)
+        d = Driver(given, servers=110, seed=me)
+        chance = Chance(d, me, rate=5.0, work=0.2)
+        chance.play(3.0)
+        d.feed(i.ServerList("full", [*entries(range(50)), *entries(range(200, 260), started=d.now)]))
+        chance.play(3.0)  # long enough for tokens, which all of them gather
+        fleet = d.gate.fleet
+        skipped = {server.entry.server for server in fleet.ready[fleet.few :]}
+        for n in range(10):
+            for first in [a for a in d.ask(customer=f"x{n}") if isinstance(a, i.Send)]:
+                after = d.feed(i.Outcome(first.id, 0, first.server, "error", 0.2))
+                servers = [a.server for a in after if isinstance(a, i.Send)]
+                further += len(servers)
+                cold += sum(name in skipped and int(name[1:]) >= 200 for name in servers)
+    assert further > 20 and cold == 0  # two hundred ingresses would push over what few look at
