--- a/benchmarks/fleet_trace.py
+++ b/benchmarks/fleet_trace.py
@@ -30,6 +30,7 @@
 
 MARK, CALL = "fleet-trace ", "fleet-call "
 EVERY = 1.0  # s between two lines of one ingress
+AGES = (0.5, 1.0, 2.0, 4.0, 8.0, 17.0)  # s since the news, the upper ends of the report's columns
 
 
 class Trace:
@@ -39,6 +40,20 @@
         self.counts: Counter[str] = Counter()
         self.dials: dict[str, Counter[str]] = {}
         self.servers: dict[str, Counter[str]] = {}
+        self.news: dict[str, tuple[str, float]] = {}  # what was last told of a server, and when
+        self.bad: dict[str, float] = {}  # since when a server is a suspect here
+
+    def since(self, decider: Decider, name: str) -> None:
+        """Count a send by what its server was last told to be, or held for, and for how long."""
+        gate, now = decider.gate, decider.gate.now
+        server = gate.fleet.servers.get(name)
+        if server is None:
+            return
+        kind, told = self.news.get(name, ("", 0.0))
+        if kind == "leaving" or (kind == "cold" and gate.fleet.warmth(server, now) < 1.0):
+            self.counts[f"since.{kind}.{age_of(now - told)}"] += 1
+        if gate.fleet.suspect(server, now):
+            self.counts[f"since.bad.{age_of(now - self.bad.get(name, now))}"] += 1
 
     def watch(self, ingress: start.Ingress) -> None:
         decider = ingress.decider
@@ -83,6 +98,10 @@
             add["heard"] += 1
             add[f"heard.{event.data[:1].decode('latin-1')}"] += 1
         elif isinstance(event, i.ServerList):
+            for entry in event.entries if event.kind != "cached" else ():
+                kind = "cold" if entry.state == "ready" and entry.started else "leaving"
+                if entry.state != "ready" or entry.started:
+                    self.news[entry.server] = (kind, decider.clock.unix(decider.clock.now))
             add["lists"] += 1
             add["entries"] += len(event.entries)
         elif isinstance(event, i.Gone):
@@ -99,6 +118,7 @@
             if server is not None:
                 add["sent.cold"] += gate.fleet.warmth(server, gate.now) < 1.0
                 add["sent.suspect"] += gate.fleet.suspect(server, gate.now)
+            self.since(decider, action.server)
         elif isinstance(action, i.Count):
             add["count"] += 1
         elif isinstance(action, i.Tell):
@@ -108,6 +128,8 @@
         gate, fleet = ingress.decider.gate, ingress.decider.gate.fleet
         now = ingress.clock.unix(ingress.clock.now)
         target = gate.capacity.target
+        self.bad = {s.entry.server: self.bad.get(s.entry.server, now) for s in fleet.ready
+                    if fleet.suspect(s, now)}
         states = {
             "open": gate.premium.open + gate.basic.open, "target": min(target, 1e6),
             "chance": gate.premium.chance, "basic": gate.basic.chance, "ready": len(fleet.ready),
@@ -125,6 +147,11 @@
                 "dials": dials, "servers": servers}
 
 
+def age_of(age: float) -> str:
+    """The column of an age in seconds, by its upper end."""
+    return next((f"{most:g}" for most in AGES if age < most), "more")
+
+
 def follow(call: Call | None) -> None:
     """A line in the log when this call has its answer: each of its sends, how it ended, what was said."""
     if call is None:
@@ -283,6 +310,18 @@
         out(f"{name:>6} {text}")
 
 
+def ages(folder: Path, out: Callable[[str], None] = print) -> None:
+    """Sends to cold, leaving and suspected servers over the fleet, by the time since that news."""
+    sums: Counter[str] = Counter()
+    for _, line in read(folder):
+        sums.update(line["n"])
+    columns = [*(f"{most:g}" for most in AGES), "more"]
+    out(f"{'s since the news, under':>24} " + " ".join(f"{name:>7}" for name in columns))
+    for kind in ("cold", "leaving", "bad"):
+        counts = " ".join(f"{sums[f'since.{kind}.{name}']:7d}" for name in columns)
+        out(f"{kind:>24} {counts}")
+
+
 def hosts(folder: Path, what: str, since: float, until: float, out: Callable[[str], None] = print) -> None:
     """New connections (``dials``) or outcomes (``servers``) by their server, between two times."""
     lines = read(folder)
@@ -307,9 +346,13 @@
     parser.add_argument("--columns", default="", help="counts to show, with commas between")
     parser.add_argument("--hosts", default="", metavar="FROM-TO", help="a row for each server instead")
     parser.add_argument("--of", choices=["dials", "servers"], default="servers", help="which (servers)")
+    parser.add_argument("--ages", action="store_true", help="sends by the time since their server's news")
     parser.add_argument("--call", default="", metavar="ID", help="the calls with this id, customer or server")
     parser.add_argument("--totals", action="store_true", help="the sums of the whole day instead")
     given = parser.parse_args()
+    if given.ages:
+        ages(given.folder)
+        return
     if given.call:
         calls(given.folder, given.call)
         return
