Take two guards out of cold_room that cannot matter, and name what the share counts

Seen on reading the change again: a server of the list is looked at only where the list is not empty, and narrow then keeps to one at the least, as the line above relies on already. The share counts claims and asks alike.

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -79,7 +79,7 @@
         warmth = self.warmth(server, now)
         if warmth >= 1.0 or server.place > self.ready[self.few - 1].place:  # it has no part in those it skips
             return warmth >= 1.0
-        lookers = self.settings.gatekeepers * max(1, self.few) / max(1, len(self.ready))  # that deal its part
+        lookers = self.settings.gatekeepers * self.few / len(self.ready)  # that deal its part
         rate = COLD_DUTY * warmth * max(self.carry, 1.0 / lookers / self.work)
         since, server.filled_at = max(server.filled_at, server.cold_from), now
         server.credit = min(1.0, server.credit + rate * max(0.0, now - since))
@@ -327,7 +327,7 @@
         self.started, self.misses, self.pumping = 0.0, 0, False
         self.least = min(CALLS_LEAST, CALLS_ALL_LEAST / settings.gatekeepers)
         self.rate, self.credit = min(CALLS_START, CALLS_ALL / settings.gatekeepers), 1.0
-        self.share = dict.fromkeys((plan.name for plan in settings.plans), 0.5)  # of asks borne out
+        self.share = dict.fromkeys((plan.name for plan in settings.plans), 0.5)  # of tries borne out
         self.places = {plan.name: place for place, plan in enumerate(settings.plans)}
         self.safe, self.filled_at, self.cut_at = 0.0, -math.inf, -math.inf  # safe: the rate before a miss
         self.due = Line()  # accounts that want a call: calls are short, so the dearest waits come first
