Give operators a line of their own: check, figures, backends out by hand, clients sent away

Design: one thin listener (wire/fronts/operators.py), one line a connection, at most 16 callers with descriptors of their own; the calls themselves are the core's (memory/desk.py) and need no wire. Clients are sent away by the acceptor: healthz says no at once, answers carry Connection: close, idle connections are closed in turn between 0.35 and 1.25 s.

Tests: tests/test_operators.py, on loopback; taken = fulfilled + throttled + faulted + gone + open.

--- a/gorsefork/life/config.py
+++ b/gorsefork/life/config.py
@@ -31,6 +31,8 @@
     peers: tuple[str, ...] = ()
     peers_all: str = ""
     sockets: int = 1024
+    ops: str = ""  # the operators' address
+    listen_fd: int | None = None  # the clients' socket, where the platform holds it for all processes
 
 
 def read_config(env: Mapping[str, str]) -> Config:
@@ -43,6 +45,11 @@
             raise BadConfig(f"PROXY_CONFIG: {error}") from None
     for key in ("name", "listen", "discovery"):
         raw.setdefault(key, env.get(f"PROXY_{key.upper()}", ""))
+    if ops := env.get("PROXY_OPS"):
+        raw["ops"] = ops  # each process has its own: the variable is this one's, the file may be older
+    fd = env.get("PROXY_FD", "")
+    if fd and not (fd.isascii() and fd.isdigit() and int(fd) > 2):
+        raise BadConfig(f"PROXY_FD: {fd!r} is no descriptor")
     for key in ("listen", "discovery", "settings"):
         if not raw.get(key):
             raise BadConfig(f"{key} is missing")
@@ -53,7 +60,7 @@
         raise BadConfig(f"settings: {type(error).__name__}: {error}") from None
     given = raw["settings"]
     try:
-        for key in ("listen", "discovery", "counter", "peer_listen", "peers_all"):
+        for key in ("listen", "discovery", "counter", "peer_listen", "peers_all", "ops"):
             if raw.get(key):
                 address(raw[key])
         return Config(
@@ -61,6 +68,6 @@
             tuple(given.get("failureDomains", ())), tuple(given.get("machineTypes", ())),
             raw.get("known") or {"seq": 0, "whole": True, "hosts": []}, raw.get("counter") or "",
             raw.get("peer_listen") or "", tuple(raw.get("peers") or ()), raw.get("peers_all") or "",
-            int(raw.get("limits", {}).get("sockets", 1024)))
+            int(raw.get("limits", {}).get("sockets", 1024)), raw.get("ops") or "", int(fd) if fd else None)
     except (TypeError, ValueError, AttributeError) as error:
         raise BadConfig(f"{type(error).__name__}: {error}") from None
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -19,6 +19,8 @@
 from gorsefork.life.introspection_config import BadFile, IntrospectionConfig, from_environment, tenants_of
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.deciding import Decider
+from gorsefork.memory.desk import Desk
+from gorsefork.memory.duty import Duty
 from gorsefork.memory.ports import Log
 from gorsefork.memory.registry import Registry
 from gorsefork.wire.acceptor import Acceptor
@@ -26,6 +28,7 @@
 from gorsefork.wire.counter import CounterClient
 from gorsefork.wire.datagrams import PeerSocket
 from gorsefork.wire.discovery import BadList, DiscoveryWatch, read_list
+from gorsefork.wire.fronts.operators import OperatorsFront
 from gorsefork.wire.introspection import Gate, IntrospectionFront
 from gorsefork.wire.introspection_client import IntrospectionClient
 from gorsefork.wire.platform import PlatformFront
@@ -76,7 +79,8 @@
         self.config, self.extra = config, extra
         self.log: Log = extra.log if extra is not None else log
         settings, sockets = config.settings, config.sockets
-        self.clock, self.ready, self.ending = clock, trio.Event(), trio.Event()
+        self.clock, self.duty, self.ending = clock, Duty(), trio.Event()
+        self.ready = self.duty.ready
         self.decider = Decider(settings, config.seed, clock, self.note)
         self.decider.sites += config.sites
         self.decider.kinds += config.kinds
@@ -95,13 +99,17 @@
                                 self.decider.hear) if config.peer_listen else None
         self.decider.boxes, self.decider.discovery = self.fleet, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
-        front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set)
+        front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set,
+                              self.duty.healthy)
         self.acceptors = [Acceptor(config.listen, front, clock, int(sockets * CLIENT_SHARE),
-                                   int(sockets * IDLE_SHARE))]
+                                   int(sockets * IDLE_SHARE), config.listen_fd)]
         if introspection is not None:
             self.acceptors.append(self.second_front(introspection, settings, sockets))
         if extra is not None:
             extra.attach(self.decider, self.ready.is_set)
+        self.duty.heed += [acceptor.away for acceptor in self.acceptors]
+        self.desk = Desk(self.duty, self.registry, self.decider.figures, self.decider.avoided, self.log)
+        self.operators = OperatorsFront(config.ops, self.desk.answer) if config.ops else None
 
     def note(self, text: str) -> None:
         self.log(text, event="note")
@@ -167,6 +175,8 @@
                 nursery.start_soon(self.counter.run)
             if self.peers is not None:
                 nursery.start_soon(self.peers.run)
+            if self.operators is not None:
+                nursery.start_soon(self.operators.run)
             if self.extra is not None:
                 nursery.start_soon(self.extra.run)
             nursery.start_soon(self.become_ready)
@@ -189,7 +199,7 @@
 
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
-        began = trio.current_time()
+        began, self.duty.closing = trio.current_time(), True
         for acceptor in self.acceptors:
             acceptor.closing = True
             acceptor.close_idle()
--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from gorsefork.memory.delegation import Delegation
+    from gorsefork.memory.figures import Figures, Kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,18 +76,27 @@
     contract: str = ""  # the plan that holds for it, where the book names one
     settled: bool = False  # a good answer has come: its use is recorded, if this installation records any
     delegations: list[Delegation] = field(default_factory=list)
+    figures: Figures | None = None  # where its end is counted
 
     def finish(self, answer: Answer) -> bool:
         """The one way to the final answer; the first wins and all later ones are dropped."""
         if self.over:
             return False
         self.over = True
+        self.count("fulfilled" if isinstance(answer, Served) else
+                   "throttled" if isinstance(answer, Overload) else "faulted")
         self.reply(answer)
         return True
 
+    def count(self, kind: Kind) -> None:
+        if self.figures is not None:
+            self.figures.ended[kind][self.cls] += 1
+
     def abandon(self) -> bool:
         """The client has gone: nobody is left to answer."""
         was_open, self.over = not self.over, True
+        if was_open:
+            self.count("gone")
         return was_open
 
     def open_delegations(self) -> int:
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -13,6 +13,7 @@
 from gorsefork.memory.call import Answer, Call, Denied, Failed, Overload, Served
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.delegation import NEVER_RAN, Delegation, Ending
+from gorsefork.memory.figures import Figures
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.ports import Boxes, Counter, Discovery, Peers, Terms, Uses
 from gorsefork.memory.registry import News
@@ -36,6 +37,7 @@
         self.calls: dict[str, Call] = {}
         self.traces: dict[str, Call] = {}  # the same by their clients' ids
         self.timers = Timers(self.calls)
+        self.figures = Figures([cls.name for cls in settings.classes])
         self.boxes: Boxes
         self.counter: Counter
         self.peers: Peers
@@ -62,6 +64,8 @@
     def take(self, call: Call) -> None:
         """A call is this ingress's from here on: it gets one final answer. Guards against one with the id of
         another that is open: a tour box could not tell the two apart."""
+        call.figures = self.figures
+        self.figures.taken[call.cls] += 1
         if call.trace in self.traces and not self.traces[call.trace].over:
             call.finish(Denied(409))
             return
@@ -74,6 +78,11 @@
                             call.first, call.retry, self.settings.classes[call.cls].effect != "repeatable",
                             terms))
 
+    def avoided(self) -> int:
+        """Servers in the list that get nothing just now, by hand, by discovery's word or by choice."""
+        now, fleet = self.clock.unix(self.clock.now), self.gate.fleet
+        return sum(s.entry.state != "gone" and fleet.suspect(s, now) for s in fleet.servers.values())
+
     def gone(self, call: Call) -> None:
         if call.abandon():
             self.post(i.Gone(call.id))
--- a/gorsefork/memory/delegation.py
+++ b/gorsefork/memory/delegation.py
@@ -26,6 +26,12 @@
     called_off: bool = False
     stop: Callable[[], None] | None = None  # set by whoever carries it out
 
+    def wrote(self) -> None:
+        """Its last byte has left."""
+        self.written = True
+        if self.call.figures is not None:
+            self.call.figures.relayed[self.call.cls] += 1
+
     def call_off(self) -> None:
         self.called_off = True
         if self.stop is not None:
--- /dev/null
+++ b/gorsefork/memory/duty.py
@@ -0,0 +1,32 @@
+"""Whether this process serves: ready, clients sent away, closing. Who asks reads it; few may change it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+
+class Duty:
+    """``away``: clients are to go elsewhere; nothing restarts, and what comes all the same is served."""
+
+    def __init__(self) -> None:
+        self.ready = trio.Event()
+        self.closing = self.away = False
+        self.heed: list[Callable[[bool], None]] = []  # told of each change of ``away``
+
+    def healthy(self) -> bool:
+        """What the clients' front is told."""
+        return self.ready.is_set() and not self.away
+
+    def send_away(self, on: bool) -> None:
+        if on != self.away:
+            self.away = on
+            for tell in self.heed:
+                tell(on)
+
+    def obstacle(self) -> str:
+        """Why this process is not ready to serve; empty if it is. Clients sent away is no obstacle."""
+        if self.closing:
+            return "closing: it finishes what it has taken"
+        return "" if self.ready.is_set() else "starting: not all parts are up"
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -27,6 +27,10 @@
 FLUSH_WITHIN = 10.0  # s that a client may take to read an answer
 LINGER = 1.0  # s that a client has to read its last answer and close
 FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
+# us since clients were sent away: until then the front may not know of it yet; by then no connection is to be
+# idle, as at 4 s none may have been used in the 2 s before.
+AWAY_FROM, AWAY_BY = 350_000, 1_250_000
+AWAY_FRESH = 250_000  # us that a connection made meanwhile may stay silent
 
 NO_CALL = frozenset((400, 404, 405, 409, 413, 431, 501, 505))  # the client's fault, whosever token it had
 
@@ -193,7 +197,7 @@
         if isinstance(answer, Denied) and answer.status in NO_CALL:
             self.errors += 1
             last, self.paused = last or self.errors > 1, True
-        last = last or self.acceptor.closing
+        last = last or self.acceptor.closing or self.acceptor.away_since is not None
         status, headers, body = to_http(answer, self.acceptor.front.whole_seconds)
         headers.append((b"Content-Length", str(len(body)).encode()))
         if last:
@@ -279,13 +283,19 @@
 class Acceptor:
     """Listens for one front. At the bounds on connections the one idle for longest gives way."""
 
-    def __init__(self, listen: str, front: Front, clock: Clock, most: int, most_idle: int = 0) -> None:
+    def __init__(self, listen: str, front: Front, clock: Clock, most: int, most_idle: int = 0,
+                 inherited: int | None = None) -> None:
         self.front, self.clock, self.most = front, clock, most
         self.most_idle = most_idle or most
         self.connections: set[ClientConnection] = set()
         self.idle: OrderedDict[ClientConnection, int] = OrderedDict()  # since when; longest first
         self.closing = False
+        self.away_since: int | None = None
         self.nursery: trio.Nursery | None = None
+        if inherited is not None:  # bound and listening already, and not this process's alone
+            self.sock = socket.socket(fileno=inherited)
+            self.sock.setblocking(False)
+            return
         host, port = address(listen)
         self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -341,6 +351,8 @@
         """Close what has stood without a request: silent clients, and those that asked once and stay."""
         while True:
             await trio.sleep(REAP_EVERY)
+            if self.away_since is not None:
+                self.send_away(self.clock.now - self.away_since)
             while self.idle:
                 connection, since = next(iter(self.idle.items()))
                 if since + IDLE_FOR > self.clock.now:
@@ -351,6 +363,20 @@
                 elif connection.scope.deadline == math.inf:  # else a request has begun, and has its own limit
                     connection.close_if_idle()
 
+    def away(self, on: bool) -> None:
+        """Clients are to go elsewhere, or may stay again. Busy ones are told with their answers."""
+        self.away_since = self.clock.now if on else None
+
+    def send_away(self, since: int) -> None:
+        """Close the idle in turn, the longest so first: all at once would come to the others as one crowd."""
+        if since < AWAY_FROM:
+            return
+        idle = [c for c, at in self.idle.items() if c.scope.deadline == math.inf
+                and (since < AWAY_BY or at + AWAY_FRESH <= self.clock.now)]
+        steps = max(1, round((AWAY_BY - since) / (REAP_EVERY * 1e6)))
+        for connection in idle[: -(-len(idle) // steps)]:
+            connection.close_if_idle()
+
     def evict(self) -> bool:
         for connection in list(self.idle)[:8]:
             connection.close_if_idle()
--- a/gorsefork/wire/boxes.py
+++ b/gorsefork/wire/boxes.py
@@ -46,7 +46,7 @@
             await self.stream.send(parts)
         except OSError:
             return Ending("connect_failed")
-        delegation.written = True
+        delegation.wrote()
         try:
             return await self.answer()
         except (OSError, h11.RemoteProtocolError, trio.TooSlowError):
@@ -122,6 +122,8 @@
         if (self.host.dial, self.host.started) != (host.dial, host.started):
             self.life += 1
             self.mailbox.put(None)
+        elif host.state != "ready":  # it wants nothing new: what stands idle to it is of no use
+            self.mailbox.put(None)
         self.host = host
 
     async def run(self) -> None:
@@ -180,7 +182,7 @@
             left_ms = max(1, (delegation.ends_at - self.fleet.clock.now) // 1000)
             return await link.ask(delegation, self.host.dial, left_ms)
         finally:
-            if link.clean and not self.retired and link.life == self.life:
+            if link.clean and not self.retired and link.life == self.life and self.host.state == "ready":
                 link.idle_since = self.fleet.clock.now
                 self.idle.append(link)
             else:
--- /dev/null
+++ b/gorsefork/wire/fronts/operators.py
@@ -0,0 +1,91 @@
+"""The operators' line: one more address, one line a connection, one answer."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from gorsefork.wire.stream import Stream, address
+
+MOST_CALLERS = 16  # connections at once; beyond that the one that has been silent longest is closed
+MOST_LINE = 1024  # bytes of a call
+LINE_WITHIN, ANSWER_WITHIN = 4.0, 2.0  # s for a call to come whole; for its answer to be read
+LINGER = 0.5  # s for the caller to close first
+BACKLOG = 64
+
+
+class Caller:
+    """One connection: its line is read, answered once, and what comes behind it is dropped."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream, self.scope, self.heard = stream, trio.CancelScope(), False
+
+    async def line(self) -> str | None:
+        """The call without its end; None if the caller leaves, or the line has none in time or bounds."""
+        data = bytearray()
+        while b"\n" not in data:
+            piece = await self.stream.receive()
+            data += piece
+            if not piece and data:
+                break  # it has closed its side behind a line without an end
+            if not piece or len(data) > MOST_LINE:
+                return None
+        return data.partition(b"\n")[0].decode("latin-1").strip("\r")
+
+
+class OperatorsFront:
+    """Descriptors are its own, so that no crowd of clients shuts operators out, nor the other way."""
+
+    def __init__(self, listen: str, answer: Callable[[str], str]) -> None:
+        self.answer = answer
+        host, port = address(listen)
+        self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind((host, port))
+        self.sock.listen(BACKLOG)
+        self.callers: list[Caller] = []  # the longest there first
+
+    @property
+    def where(self) -> str:
+        name = self.sock.getsockname()
+        return f"{name[0]}:{name[1]}"
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.lowlevel.wait_readable(self.sock)
+                try:
+                    stream = Stream(self.sock.accept()[0])
+                except BlockingIOError:
+                    continue
+                except OSError:  # broken on its way, or no descriptor is left
+                    await trio.sleep(0.02)
+                    continue
+                if len(self.callers) >= MOST_CALLERS:
+                    silent = [caller for caller in self.callers if not caller.heard]
+                    (silent or self.callers)[0].scope.cancel()
+                self.callers.append(caller := Caller(stream))
+                nursery.start_soon(self.serve, caller)
+
+    async def serve(self, caller: Caller) -> None:
+        """Whatever goes wrong here ends this connection alone."""
+        try:
+            line = None
+            with caller.scope, trio.move_on_after(LINE_WITHIN):
+                line = await caller.line()
+            if line is not None:
+                caller.heard = True
+                with trio.move_on_after(ANSWER_WITHIN):
+                    await caller.stream.send([self.answer(line).encode("latin-1", "replace")])
+                    caller.stream.end_writing()
+                    with trio.move_on_after(LINGER):  # guards against a reset that overtakes the answer
+                        while await caller.stream.receive():
+                            pass
+        except (OSError, trio.ClosedResourceError):
+            pass  # the caller's own affair
+        finally:
+            caller.stream.close()
+            self.callers.remove(caller)
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -29,18 +29,18 @@
 
 
 class PlatformFront:
-    """``take`` and ``gone`` are the core's; ``ready`` tells whether all is up."""
+    """``take`` and ``gone`` are the core's; ``ready``: all is up; ``healthy``: what clients hear."""
 
     whole_seconds = False
 
     def __init__(self, settings: i.Settings, take: Callable[[Call], None], gone: Callable[[Call], None],
-                 ready: Callable[[], bool]) -> None:
-        self.take, self.gone, self.ready = take, gone, ready
+                 ready: Callable[[], bool], healthy: Callable[[], bool]) -> None:
+        self.take, self.gone, self.ready, self.healthy = take, gone, ready, healthy
         self.reader = CallReader(settings)
 
     def begin(self, exchange: Exchange) -> None:
         if exchange.target == "/healthz":
-            exchange.deny(200 if self.ready() else 503)
+            exchange.deny(200 if self.healthy() else 503)
             return
         try:
             call = self.reader.read(exchange)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -14,6 +14,8 @@
     box wait idle                          no request is waiting there
     c1 send GET /v1/status front=control   to the first ingress's control listener
     c1 send raw TEXT                       bytes as they stand; or: raw2 and raw3, to the other fronts
+    o1 send set-down s-1                   an operator's call, each on its own connection; or: raw TEXT
+    o1 expect +OK [figure=4]               its answer begins so, and has these lines
     n1 send SIGHUP discovery=$disco2       the first ingress reads a file with these values (or: raw TEXT)
 """
 
@@ -122,6 +124,7 @@
     def __init__(self, ingresses: int, keepalive: int, operator: str = "", apart: bool = False) -> None:
         self.servers = {name: Server(name) for name in SERVERS}
         self.clients: dict[str, Wire] = {}
+        self.operators: dict[str, Wire] = {}
         self.clock = Clock()
         self.operator = operator
         self.ingresses = [self.ingress(keepalive, n) for n in range(ingresses)]
@@ -136,7 +139,8 @@
         settings = to_settings({**SETTINGS, "limits": {**SETTINGS["limits"], "keepalive": keepalive}})
         entry = {"host": "s-1", "dial": self.servers["box"].dial, "health": "active"}
         config = Config("n0", "127.0.0.1:0", self.servers["disco"].dial, 1, settings, (), (),
-                        {"seq": 1, "whole": True, "hosts": [entry]}, self.servers["counter"].dial)
+                        {"seq": 1, "whole": True, "hosts": [entry]}, self.servers["counter"].dial,
+                        ops="127.0.0.1:0")
         second = IntrospectionConfig(
             "guide-app", "127.0.0.1:0", self.servers["oauth"].dial, "/introspect", "me", "s3cret", 300, 250,
             8, "client_id", "", {"buy": "tour.buy"}, {"museum": TenantEntry("rated", CUSTOMER, 1, 0)})
@@ -159,7 +163,25 @@
                 raise AssertionError(f"at {line!r}: {error!r}") from None
 
     def side(self, who: str) -> str:
-        return "server" if who in self.servers else "client" if who.startswith("c") else "ingress"
+        kinds = {"c": "client", "o": "operator"}
+        return "server" if who in self.servers else kinds.get(who[0], "ingress")
+
+    async def send_operator(self, who: str, rest: str) -> None:
+        front = self.ingresses[0].operators
+        assert front is not None
+        wire = self.operators[who] = Wire(socket.create_connection(front.sock.getsockname()))
+        text = rest[4:].replace("\\n", "\n") if rest.startswith("raw ") else f"{rest}\n"
+        await wire.stream.send_all(text.encode("latin-1"))
+
+    async def expect_operator(self, who: str, rest: str) -> None:
+        wire, text = self.operators.pop(who), ""
+        while data := await wire.stream.receive_some():
+            text += data.decode("latin-1")
+        await wire.stream.aclose()
+        start, *lines = rest.split(" ")
+        assert text.startswith(start) if start != "nothing" else not text, text
+        given = text.splitlines()
+        assert all(line in given or f"edge_proxy.{line}" in given for line in lines), text
 
     async def send_ingress(self, who: str, rest: str) -> None:
         ingress = self.ingresses[int(who[1:]) - 1]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,7 +19,7 @@
     "wire.http1": ("wire.stream",),
     "wire.http2": (),
     "wire.services": ("memory", "plans", "usage", "wire.http1"),
-    "wire.fronts": ("memory", "plans", "wire.acceptor"),
+    "wire.fronts": ("memory", "plans", "wire.acceptor", "wire.stream"),
 }
 NO_WIRE = ("h11", "h2", "socket", "ssl", "sqlite3", "selectors")
 NO_IO = (*NO_WIRE, "trio", "os", "pathlib", "time", "threading")  # what subsystems that decide may not touch
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,196 @@
+"""The operators' line: its calls, its figures, and what they do to clients and tour boxes."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+from scenario import World, scenario
+
+from gorsefork.memory.registry import MOST_SEEN, Host, News, Registry
+from gorsefork.wire.acceptor import AWAY_BY, AWAY_FROM
+from gorsefork.wire.fronts.operators import MOST_CALLERS, MOST_LINE
+
+KEY = "Idempotency-Key=k1"
+
+
+class Line(unittest.TestCase):
+    def test_each_call_gets_its_word_and_a_bad_one_changes_nothing(self) -> None:
+        scenario("""
+            o1 send check
+            o1 expect +OK
+            o1 send
+            o1 expect -ERR
+            o1 send reboot
+            o1 expect -ERR
+            o1 send set-down
+            o1 expect -ERR
+            o1 send set-down s-1 s-2
+            o1 expect -ERR
+            o1 send set-down s-99
+            o1 expect -ERR
+            o1 send set-up s-99
+            o1 expect -ERR
+            o1 send check now
+            o1 expect -ERR
+            o1 send raw \xff\x00\x01\\n
+            o1 expect -ERR
+            o1 send raw check\\nset-down s-1\\n
+            o1 expect +OK
+            o1 send vars
+            o1 expect +OK out_of_rotation=0 registry_entries=1 open_requests=0 .""")
+
+    def test_callers_who_say_nothing_or_too_much_shut_nobody_out(self) -> None:
+        silent = "\n".join(f"o{n} send raw chec" for n in range(2, 3 * MOST_CALLERS))
+        scenario(f"""
+            {silent}
+            o1 send raw {"x" * (MOST_LINE + 10)}
+            o1 expect nothing
+            o1 send check
+            o1 expect +OK""")
+
+    def test_operators_are_heard_when_every_place_for_clients_is_taken(self) -> None:
+        async def then(world: World) -> None:
+            world.ingresses[0].acceptors[0].most = 0
+            await world.play("o1 send check\no1 expect +OK")
+
+        scenario("", then=then)
+
+
+class Counts(unittest.TestCase):
+    def test_each_end_is_counted_once_and_all_adds_up(self) -> None:
+        async def then(world: World) -> None:
+            figures = world.ingresses[0].decider.figures
+            self.assertEqual(figures.taken[0], sum(ended[0] for ended in figures.ended.values()) + 1)
+            self.assertEqual((figures.open(), figures.ended["gone"][0]), (1, 1))
+
+        scenario(f"""
+            c1 send GET /look X-Trace-Id=1
+            box expect GET /look
+            o1 send vars
+            o1 expect +OK open_requests=1 relayed.look=1 fulfilled.look=0
+            box send 200 | yes
+            c1 expect 200
+            c2 send POST /buy {KEY} X-Trace-Id=2 X-Expires-In-Ms=150 | x
+            box expect POST /buy
+            c2 expect 502
+            c3 send GET /look X-Metering=units=6,spread=1,first=0 X-Trace-Id=3 X-Expires-In-Ms=1
+            c3 expect 503
+            c4 send GET /look X-Trace-Id=4
+            box expect GET /look
+            c4 close
+            box wait
+            o1 send vars
+            o1 expect +OK open_requests=0 relayed.look=2 relayed.buy=1 fulfilled.look=1 faulted.buy=1
+            c5 send GET /look X-Trace-Id=5
+            box expect GET /look""", then=then)
+
+
+class OutByHand(unittest.TestCase):
+    def test_a_box_out_by_hand_gets_nothing_until_it_is_put_back_and_comes_back_cold(self) -> None:
+        async def then(world: World) -> None:
+            ingress = world.ingresses[0]
+            server = ingress.decider.gate.fleet.servers["s-1"]
+            cold = server.cold_from
+            await world.play("""
+                o1 send set-down s-1
+                o1 expect +OK
+                o1 send set-down s-1
+                o1 expect +OK
+                o1 send vars
+                o1 expect +OK out_of_rotation=1 registry_entries=1
+                c1 send GET /look X-Expires-In-Ms=300
+                c1 expect 503
+                box wait idle
+                o1 send set-up s-1
+                o1 expect +OK
+                c1 send GET /look X-Expires-In-Ms=2000
+                box expect GET /look
+                box send 200 | back
+                c1 expect 200 | back""")
+            self.assertGreater(server.cold_from, cold)
+
+        scenario("", then=then)
+
+    def test_discovery_does_not_end_a_ban_whatever_it_lists(self) -> None:
+        told: list[News] = []
+        registry = Registry(told.append, lambda host: None, now=lambda: 77)
+        box = Host("a", "127.0.0.1:1", "ready")
+        registry.apply(News("full", 1, (box,)))
+        self.assertEqual(registry.set_down("a"), "")
+        self.assertEqual((told[-1].hosts[0].state, registry.may_send("a")), ("draining", False))
+        registry.apply(News("delta", 2, (box,)))
+        self.assertEqual((told[-1].hosts[0].state, registry.may_send("a")), ("draining", False))
+        registry.apply(News("full", 3, ()))  # gone, still out, and back under the same name
+        self.assertEqual(registry.set_down("a"), "")
+        registry.apply(News("delta", 4, (box,)))
+        self.assertEqual((told[-1].hosts[0].state, registry.may_send("a")), ("draining", False))
+        self.assertEqual(registry.set_up("a"), "")
+        self.assertEqual((told[-1].hosts[0].state, told[-1].hosts[0].started), ("ready", 77))
+        self.assertTrue(registry.may_send("a"))
+
+    def test_ids_once_listed_are_remembered_within_a_bound_and_bans_longest(self) -> None:
+        registry = Registry(lambda news: None, lambda host: None)
+        registry.apply(News("full", 1, (Host("banned", "127.0.0.1:1", "ready"),)))
+        registry.set_down("banned")
+        for n in range(MOST_SEEN + 50):
+            registry.apply(News("full", n, (Host(f"s{n}", "127.0.0.1:1", "ready"),)))
+        self.assertLessEqual(len(registry.seen), MOST_SEEN)
+        self.assertTrue(registry.set_down("s0"))  # forgotten
+        self.assertEqual(registry.set_up("banned"), "")
+
+
+class SentAway(unittest.TestCase):
+    def test_healthz_says_no_at_once_and_yes_again_and_what_comes_is_served_and_closed(self) -> None:
+        scenario("""
+            o1 send drain-on
+            o1 expect +OK
+            o1 send drain-off
+            o1 expect +OK
+            o1 send drain-on
+            o1 expect +OK
+            c1 send GET /healthz
+            c1 expect 503 Connection
+            c2 send GET /look
+            box expect GET /look
+            box send 200 | still
+            c2 expect 200 Connection | still
+            c2 wait
+            o1 send check
+            o1 expect +OK
+            o1 send drain-off
+            o1 expect +OK
+            c3 send GET /healthz
+            c3 expect 200""")
+
+    def test_idle_connections_are_closed_in_turn_and_never_under_a_request(self) -> None:
+        async def then(world: World) -> None:
+            acceptor = world.ingresses[0].acceptors[0]
+            await world.play("c9 send GET /look X-Trace-Id=9\nbox expect GET /look")
+            for n in range(1, 5):
+                await world.play(f"c{n} send GET /healthz\nc{n} expect 200")
+            await world.play("c5 send raw GET /healthz HTT")
+            while len(acceptor.idle) < 5 or all(c.scope.deadline > 1e300 for c in acceptor.idle):
+                await trio.lowlevel.checkpoint()
+            acceptor.send_away(AWAY_FROM - 1)
+            self.assertEqual(sum(c.last for c in acceptor.connections), 0)
+            acceptor.send_away(AWAY_BY - 500_000)
+            self.assertEqual(sum(c.last for c in acceptor.connections), 2)
+            await world.play("c1 wait\nc2 wait")
+            for connection in acceptor.idle:
+                acceptor.idle[connection] = 0
+            acceptor.send_away(AWAY_BY)
+            acceptor.away(True)
+            await world.play("""
+                c3 wait
+                c4 wait
+                c5 send raw P/1.1\\nHost: x\\n\\n
+                c5 expect 200
+                box send 200 | in time
+                c9 expect 200 Connection | in time""")
+
+        scenario("", then=then)
+
+
+if __name__ == "__main__":
+    unittest.main()
