Change the version under load: one process takes at a time, and what it knows passes to the next

Design: with $PROXY_FD the clients' socket is inherited, and a next process finds the one that serves by a Unix socket in $TMPDIR (life/handover.py, wire/services/succession.py). It learns bans, drain and list at once, says yes on its own operators' line, and takes nothing until it hears 'yours' with the module's state, or the one before is gone. Each holds half of the descriptors meanwhile.

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -295,7 +295,7 @@
         return self.part * self.plan.burst >= 1.0
 
     def refill(self, now: float) -> None:
-        elapsed, self.at = now - self.at, now
+        elapsed, self.at = 0.0 if self.handed else now - self.at, now
         gained = self.plan.rate * elapsed if self.whole() else 0.0
         self.level = max(self.level, min(self.plan.burst, self.level + gained))
         cap = max(self.part * self.plan.burst, min(self.plan.burst, 1.0))
@@ -324,7 +324,7 @@
         self.settings, self.rng, self.out = settings, rng, out
         self.accounts = Accounts()
         self.asked, self.serial = dict[int, Ticket](), 0  # tries that wait for the word of a keeper
-        self.started, self.misses, self.pumping = 0.0, 0, False
+        self.started, self.misses, self.pumping, self.handed = 0.0, 0, False, False
         self.least = min(CALLS_LEAST, CALLS_ALL_LEAST / settings.gatekeepers)
         self.rate, self.credit = min(CALLS_START, CALLS_ALL / settings.gatekeepers), 1.0
         self.share = dict.fromkeys((plan.name for plan in settings.plans), 0.5)  # of tries borne out
@@ -337,7 +337,8 @@
         if account is None:
             account = self.accounts[tag] = Account(tag, spread, first, self.settings, plan, now)
             # Another life of this process may have drawn on the ceiling: it counts as empty at the start.
-            account.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - self.started)) / spread
+            lived, account.handed = 0.0 if self.handed else now - self.started, self.handed
+            account.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * lived) / spread
         elif account.plan != plan:
             account.change(plan, now)
         account.refill(now)
@@ -607,8 +608,7 @@
         self.premium, self.basic = Lane(), Lane()
         self.period = min(PERIOD, min(c.aim for c in settings.classes) / PERIODS_AN_AIM)
         self.tickets: dict[str, Ticket] = {}
-        self.cut_off, self.budget, self.list_misses = 0.0, RETRY_DEPTH, 0
-        self.suspended = False
+        self.cut_off, self.budget, self.list_misses, self.suspended = 0.0, RETRY_DEPTH, 0, False
         self.now, self.begun, self.ticking, self.plain = 0.0, False, False, i.Plan("none")
         self.takers: dict[type, Callable[[Any], None]] = {
             i.Request: self.arrive, i.Outcome: self.outcome, i.Timer: self.timer, i.Counted: self.counted,
--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -202,6 +202,7 @@
         self.keeper: int | None = None  # the gatekeeper that keeps this account for its set, if another does
         self.leases: deque[float] = deque()  # when the open tries of peers that asked count no more
         self.words = Words()  # on tries that peers asked about lately
+        self.handed = False  # its room is another process's by now: none grows here
         self.own_terms = False  # its plan is what was told of this customer, not what a request names
         self.carried, self.carried_at = 0.0, now  # units spent before a change, in no count of this span's
 
--- a/gorsefork/life/config.py
+++ b/gorsefork/life/config.py
@@ -32,6 +32,7 @@
     peers_all: str = ""
     sockets: int = 1024
     ops: str = ""  # the operators' address
+    scratch: str = ""  # a folder that this ingress's processes share while its version changes
     listen_fd: int | None = None  # the clients' socket, where the platform holds it for all processes
 
 
@@ -68,6 +69,7 @@
             tuple(given.get("failureDomains", ())), tuple(given.get("machineTypes", ())),
             raw.get("known") or {"seq": 0, "whole": True, "hosts": []}, raw.get("counter") or "",
             raw.get("peer_listen") or "", tuple(raw.get("peers") or ()), raw.get("peers_all") or "",
-            int(raw.get("limits", {}).get("sockets", 1024)), raw.get("ops") or "", int(fd) if fd else None)
+            int(raw.get("limits", {}).get("sockets", 1024)), raw.get("ops") or "",
+            env.get("TMPDIR", "") if fd else "", int(fd) if fd else None)
     except (TypeError, ValueError, AttributeError) as error:
         raise BadConfig(f"{type(error).__name__}: {error}") from None
--- /dev/null
+++ b/gorsefork/life/handover.py
@@ -0,0 +1,201 @@
+"""A change of version under load: which of two processes takes, and what passes from one to the other.
+
+One takes at a time, by construction: the next one waits, ready, until the one that serves says ``yours`` or
+is gone. Whatever is wrong with the link, the next one says so and goes on by what it has.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from gorsefork.decisions.handing import hand_over, take_over
+from gorsefork.memory.registry import Host, News
+from gorsefork.wire.services.succession import HELLO_WITHIN, VERSION, BadLink, Link, Place
+
+if TYPE_CHECKING:
+    from gorsefork.life.start import Ingress
+
+UNSERVED, LOOK_EVERY = 1.0, 0.05  # s for which clients wait on the socket all the time: nobody takes there
+
+
+class Handover:
+    """Both sides of it, for one process: first as the one that follows, later as the one that is followed."""
+
+    def __init__(self, ingress: Ingress, folder: str) -> None:
+        config = ingress.config
+        self.ingress, self.place = ingress, Place(folder, config.name or str(config.settings.me))
+        self.before: Link | None = None  # to the one that serves still, or finishes
+        self.next: Link | None = None  # to the one that is to follow
+        self.taking = trio.Event()
+        self.handed = False
+        ingress.desk.told.append(self.tell)
+
+    def tell(self, call: str) -> None:
+        """An operator's call made here holds at the other process too."""
+        for link in (self.before, self.next):
+            if link is not None:
+                link.say({"say": call})
+
+    def note(self, text: str) -> None:
+        self.ingress.log(f"gorsefork: change of version: {text}", event="handover")
+
+    # As the one that follows.
+
+    async def meet(self) -> None:
+        """Find the one that serves and learn what holds there; bounded, and nothing if there is none."""
+        link = await self.place.meet()
+        if link is None:
+            self.note("nobody serves here yet")
+            return
+        try:
+            with trio.fail_after(HELLO_WITHIN):
+                message = await link.hear()
+            self.learn(message["hello"] if message else {})
+        except (BadLink, KeyError, TypeError, ValueError, trio.TooSlowError) as error:
+            self.note(f"what serves here said nothing of use ({type(error).__name__}: {error})")
+            await trio.aclose_forcefully(link.stream)
+            return
+        self.before = link
+        self.ingress.share_limits(True)
+        self.note("another process serves here; this one follows when it is told to")
+
+    def learn(self, hello: Mapping[str, Any]) -> None:
+        if hello.get("version") != VERSION or hello.get("name") != self.ingress.config.name:
+            raise BadLink(f"it is {hello.get('name')!r}, version {hello.get('version')!r}")
+        registry, list_ = self.ingress.registry, hello["list"]
+        hosts = tuple(Host(str(n), str(d), s, int(at), str(site), str(kind), int(block), float(share))
+                      for n, d, s, at, site, kind, block, share in list_["hosts"])
+        if int(list_["seq"]) > registry.version and all(h.state in ("ready", "draining") for h in hosts):
+            registry.apply(News("cached", int(list_["seq"]), hosts))
+            self.ingress.watch.version = registry.version
+        for name in hello["seen"]:
+            registry.see(str(name))
+        for name, since in hello["down"].items():
+            registry.see(str(name))
+            registry.down[str(name)] = int(since)
+        registry.back.update({str(name): int(at) for name, at in hello["back"].items()})
+        for name in {*registry.down, *registry.back}:
+            registry.retell(name)
+        self.ingress.duty.send_away(bool(hello["away"]))
+
+    async def follow(self) -> None:
+        """Wait, once ready, until this process is the one that takes; then be the one that is followed."""
+        await self.ingress.ready.wait()
+        if self.before is not None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.hear_before, self.before)
+                nursery.start_soon(self.watch_socket)
+                await self.taking.wait()
+                self.take()
+                nursery.start_soon(self.be_found)
+                await trio.sleep_forever()
+        self.take()
+        await self.be_found()
+
+    def take(self) -> None:
+        self.taking.set()
+        self.ingress.begin_taking()
+
+    async def hear_before(self, link: Link) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.speak, link)
+            try:
+                while (message := await link.hear()) is not None:
+                    if "say" in message:
+                        self.ingress.desk.hear(str(message["say"]))
+                    elif "yours" in message and not self.taking.is_set():
+                        self.go_on_with(message["yours"])
+                        self.taking.set()
+            except BadLink as error:
+                self.note(f"the one before speaks no sense ({error}); this one goes on by what it has")
+            nursery.cancel_scope.cancel()
+        self.before = None
+        self.ingress.share_limits(False)
+        if not self.taking.is_set():
+            self.note("the one before is gone and left nothing; this one goes on by what it has")
+        self.taking.set()
+
+    def go_on_with(self, given: Any) -> None:
+        try:
+            take_over(self.ingress.decider.gate, given, self.ingress.clock.unix(self.ingress.clock.now))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self.note(f"what was left here can't be read ({type(error).__name__}: {error})")
+            return
+        self.note(f"goes on with {len(given['accounts'])} customers' accounts")
+
+    async def watch_socket(self) -> None:
+        """Guards against one that serves no more but does not end: clients would wait for nobody."""
+        sock, waited = self.ingress.acceptors[0].sock, 0.0
+        while not self.taking.is_set():
+            await trio.sleep(LOOK_EVERY)
+            waited = waited + LOOK_EVERY if waiting(sock) else 0.0
+            if waited >= UNSERVED and self.before is not None and not self.taking.is_set():
+                self.note(f"clients waited {UNSERVED} s for the one before; this one takes")
+                self.before.say({"mine": True})
+                self.taking.set()
+
+    # As the one that is followed.
+
+    async def be_found(self) -> None:
+        try:
+            await self.place.listen(self.be_followed)
+        except OSError as error:
+            self.note(f"cannot be found by the next one: {error}")
+
+    async def be_followed(self, link: Link) -> None:
+        """One that follows, until it or this process ends."""
+        self.next, self.handed = link, False
+        self.ingress.share_limits(True)
+        link.say({"hello": self.hello()})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.speak, link)
+            try:
+                while (message := await link.hear()) is not None:
+                    if "say" in message:
+                        self.ingress.desk.hear(str(message["say"]))
+                    elif "mine" in message and not self.handed:
+                        self.handed = True
+                        self.note("the next one takes, unasked")
+                        self.ingress.cease_taking()
+            except BadLink as error:
+                self.note(f"the next one speaks no sense ({error})")
+            nursery.cancel_scope.cancel()
+        self.next = None
+        self.ingress.share_limits(False)
+        if self.handed:
+            self.note("the next one is gone: this one takes again")
+            self.ingress.begin_taking()
+
+    def hello(self) -> dict[str, Any]:
+        registry = self.ingress.registry
+        return {"version": VERSION, "name": self.ingress.config.name, "away": self.ingress.duty.away,
+                "seen": list(registry.seen), "down": registry.down, "back": registry.back,
+                "list": {"seq": registry.version, "hosts": [
+                    [h.name, h.dial, h.state, h.started, h.site, h.kind, h.block, h.share]
+                    for h in registry.hosts.values()]}}
+
+    def give(self) -> bool:
+        """This process takes no more. Whether there is one that goes on."""
+        if self.next is None or self.handed:
+            return self.handed
+        self.handed = True
+        self.next.say({"yours": hand_over(self.ingress.decider.gate)})
+        self.note("handed over")
+        return True
+
+    async def speak(self, link: Link) -> None:
+        try:
+            await link.speak()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            await trio.aclose_forcefully(link.stream)  # whoever hears on it sees the end
+
+
+def waiting(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -34,6 +34,7 @@
 from gorsefork.wire.platform import PlatformFront
 
 if TYPE_CHECKING:
+    from gorsefork.life.handover import Handover
     from gorsefork.life.installation import Installation
 
 CLIENT_SHARE, IDLE_SHARE = 0.4, 0.1  # of the descriptors: clients in all, and those without a request
@@ -96,7 +97,8 @@
         self.counter = CounterClient(config.counter, clock, settings.accounting.counter_timeout,
                                      self.decider.post) if config.counter else None
         self.peers = PeerSocket(config.peer_listen, config.peers, config.peers_all, settings.me,
-                                self.decider.hear) if config.peer_listen else None
+                                self.decider.hear,
+                                config.listen_fd is not None) if config.peer_listen else None
         self.decider.boxes, self.decider.discovery = self.fleet, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
         front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set,
@@ -110,6 +112,11 @@
         self.duty.heed += [acceptor.away for acceptor in self.acceptors]
         self.desk = Desk(self.duty, self.registry, self.decider.figures, self.decider.avoided, self.log)
         self.operators = OperatorsFront(config.ops, self.desk.answer) if config.ops else None
+        self.handover: Handover | None = None
+        if config.listen_fd is not None and config.scratch:
+            from gorsefork.life.handover import Handover  # only where the platform changes versions so
+
+            self.handover = Handover(self, config.scratch)
 
     def note(self, text: str) -> None:
         self.log(text, event="note")
@@ -125,6 +132,26 @@
         front.start = acceptor.start
         return acceptor
 
+    def share_limits(self, shared: bool) -> None:
+        """While two processes are this ingress, each may hold half of its connections."""
+        sockets = self.config.sockets // 2 if shared else self.config.sockets
+        self.acceptors[0].most = int(sockets * CLIENT_SHARE)
+        self.acceptors[0].most_idle = int(sockets * IDLE_SHARE)
+        self.fleet.most_links = int(sockets * BOX_SHARE)
+
+    def begin_taking(self) -> None:
+        """Clients and fellow ingresses come to this process from here on."""
+        if not self.duty.closing:
+            self.acceptors[0].begin()
+            self.acceptors[0].away(self.duty.away)
+        if self.peers is not None:
+            self.peers.open()
+
+    def cease_taking(self) -> None:
+        """Another process of this ingress takes; this one finishes what it has, and no connection stays."""
+        self.acceptors[0].cease()
+        self.acceptors[0].away(True)
+
     async def run(self) -> None:
         """Until SIGTERM, and then until the drain is over."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -167,6 +194,13 @@
 
     async def run_parts(self) -> None:
         async with trio.open_nursery() as nursery:
+            if self.operators is not None:
+                nursery.start_soon(self.operators.run)
+            if self.handover is not None:
+                await self.handover.meet()
+                nursery.start_soon(self.handover.follow)
+            elif self.config.listen_fd is not None:
+                self.begin_taking()
             for run in (self.decider.run, self.registry.run, self.fleet.run, self.watch.run):
                 nursery.start_soon(run)
             for acceptor in self.acceptors:
@@ -175,8 +209,6 @@
                 nursery.start_soon(self.counter.run)
             if self.peers is not None:
                 nursery.start_soon(self.peers.run)
-            if self.operators is not None:
-                nursery.start_soon(self.operators.run)
             if self.extra is not None:
                 nursery.start_soon(self.extra.run)
             nursery.start_soon(self.become_ready)
@@ -200,14 +232,22 @@
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
         began, self.duty.closing = trio.current_time(), True
+        followed = self.handover is not None and self.handover.next is not None
+        if followed:
+            self.acceptors[0].cease()
         for acceptor in self.acceptors:
             acceptor.closing = True
-            acceptor.close_idle()
-        await trio.sleep_until(began + ACCEPT_FOR)
+            acceptor.close_idle(heads=not followed)
+        if self.handover is not None and followed:
+            self.decider.turn()  # what has come is decided by what is here still
+            followed = self.handover.give()
+        if not followed:
+            await trio.sleep_until(began + ACCEPT_FOR)
         for acceptor in self.acceptors:
-            acceptor.stop_listening()
+            if not followed or acceptor is not self.acceptors[0]:
+                acceptor.stop_listening()
         await trio.sleep(LAST_REQUESTS)
-        while any(a.busy() for a in self.acceptors) and trio.current_time() < began + FINISH_BY:
+        while any(a.busy(followed) for a in self.acceptors) and trio.current_time() < began + FINISH_BY:
             await trio.sleep(LOOK_EVERY)
         self.decider.post(i.Closing())
         await trio.sleep(LAST_WRITES)
@@ -215,6 +255,7 @@
             await self.extra.finish()
 
 
+
 def main() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # outside of ``run`` it is to end nothing either
     faults: tuple[type[Exception], ...] = (BadConfig, BadList, BadFile)
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -292,6 +292,7 @@
         self.closing = False
         self.away_since: int | None = None
         self.nursery: trio.Nursery | None = None
+        self.taking, self.listening = trio.Event(), trio.CancelScope()
         if inherited is not None:  # bound and listening already, and not this process's alone
             self.sock = socket.socket(fileno=inherited)
             self.sock.setblocking(False)
@@ -302,6 +303,7 @@
         self.sock.setblocking(False)
         self.sock.bind((host, port))
         self.sock.listen(BACKLOG)
+        self.begin()
 
     @property
     def port(self) -> int:
@@ -318,12 +320,22 @@
     async def run(self) -> None:
         async with trio.open_nursery() as self.nursery:
             self.nursery.start_soon(self.reap)
-            with trio.CancelScope() as self.listening:
-                while True:
-                    await trio.lowlevel.wait_readable(self.sock)
-                    if not self.accept_ready():
-                        await trio.sleep(0.02)
-            await trio.sleep_forever()
+            while True:
+                await self.taking.wait()
+                with trio.CancelScope() as self.listening:
+                    while True:
+                        await trio.lowlevel.wait_readable(self.sock)
+                        if not self.accept_ready():
+                            await trio.sleep(0.02)
+
+    def begin(self) -> None:
+        """Take connections. One whose socket is inherited waits for this, as another may take them still."""
+        self.taking.set()
+
+    def cease(self) -> None:
+        """Take no more, and leave what waits on the socket to another process."""
+        self.taking = trio.Event()
+        self.listening.cancel()
 
     def accept_ready(self) -> bool:
         """Take in all that waits; False if there is no room for more just now."""
@@ -390,18 +402,21 @@
         self.connections.discard(connection)
         self.idle.pop(connection, None)
 
-    def busy(self) -> bool:
+    def busy(self, heads: bool = False) -> bool:
         """Whether a client is owed something. Guards against clients that say nothing or never close: a drain
-        is not to wait for those."""
-        return any(c.exchange is not None or c.flushing for c in self.connections)
+        is not to wait for those. ``heads``: a request that has begun is waited for too."""
+        return any(c.exchange is not None or c.flushing
+                   or (heads and not c.last and c.scope.deadline < math.inf) for c in self.connections)
 
-    def close_idle(self) -> None:
+    def close_idle(self, heads: bool = True) -> None:
+        """``heads``: those too on which a request has begun that is not whole."""
         for connection in list(self.idle):
-            connection.close_if_idle()
+            if heads or connection.scope.deadline == math.inf:
+                connection.close_if_idle()
 
     def stop_listening(self) -> None:
         """The backlog first: a request unread in it counts as taken."""
         self.accept_ready()
-        self.listening.cancel()
+        self.cease()
         trio.lowlevel.notify_closing(self.sock)
         self.sock.close()
--- a/gorsefork/wire/datagrams.py
+++ b/gorsefork/wire/datagrams.py
@@ -19,22 +19,33 @@
     """Messages to and from ``peers``, by their numbers; ``peers_all`` reaches every one."""
 
     def __init__(self, listen: str, peers: Sequence[str], everyone: str, me: int,
-                 post: Callable[[PeerMessage], None]) -> None:
-        self.post, self.me = post, me
+                 post: Callable[[PeerMessage], None], shared: bool = False) -> None:
+        self.post, self.me, self.here = post, me, address(listen)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
-        self.sock.bind(address(listen))
+        self.bound = trio.Event()
+        if shared:  # another process of this ingress hears there, until ``open``
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        else:
+            self.open()
         self.numbers = {address(peer): number for number, peer in enumerate(peers)}
         self.dials: dict[int | None, tuple[str, int]] = dict(enumerate(map(address, peers)))
         if everyone:
             self.dials[None] = address(everyone)
         self.mailboxes = {peer: Mailbox[bytes](MOST_WAITING) for peer in self.dials}
 
+    def open(self) -> None:
+        """Hear from here on: of two processes that are bound there, the one that came last hears all."""
+        if not self.bound.is_set():
+            self.sock.bind(self.here)
+            self.bound.set()
+
     def tell(self, peer: int | None, data: bytes) -> None:
         if len(data) <= LONGEST and (mailbox := self.mailboxes.get(peer)) is not None and peer != self.me:
             mailbox.put(data)
 
     async def run(self) -> None:
+        await self.bound.wait()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.listen)
             for peer, dial in self.dials.items():
