Pass bodies and answers of up to 33 MB through as they come, in bounded memory

Design: up to 64 KiB a body is held whole as before, with retries and second copies. Beyond that it passes through: an answer begins at the client once 64 KiB of it are here (Long, memory/call.py), and from there the delegation's own task reads a piece from the server and writes it to the client, at the client's pace; for the module it has ended well. A request's body goes through a Flow of 64 KiB from the client's connection to one delegation; its time counts from its last byte, no other attempt can have it, and what breaks before that byte never ran.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -44,6 +44,7 @@
 LAST_REQUESTS = 0.1  # s for the requests on the last connections to be read
 FINISH_BY = 3.3  # s after SIGTERM, the last answers; SIGKILL comes no sooner than at 3.7 s
 LAST_WRITES = 0.1  # s for answers to leave
+POUR_MOST = 60.0  # s after SIGTERM for long answers to leave, if nobody ends this process sooner
 OPERATOR = Path(__file__).parents[2] / "deploy" / "operator.toml"
 LOOK_EVERY = 0.02  # s between looks whether all have left
 
@@ -87,7 +88,7 @@
         self.decider.kinds += config.kinds
         self.registry = Registry(self.decider.listed, lambda host: self.fleet.changed(host))
         self.fleet = Fleet(clock, self.registry, self.decider.ended, settings.limits.keepalive,
-                           settings.limits.connect_timeout, int(sockets * BOX_SHARE))
+                           settings.limits.connect_timeout, int(sockets * BOX_SHARE), self.decider.opened)
         known = read_list(config.known, clock, cached=True)
         self.registry.apply(known)
         self.watch = DiscoveryWatch(config.discovery, self.registry, clock, known.version,
@@ -247,10 +248,12 @@
             if not followed or acceptor is not self.acceptors[0]:
                 acceptor.stop_listening()
         await trio.sleep(LAST_REQUESTS)
-        while any(a.busy(followed) for a in self.acceptors) and trio.current_time() < began + FINISH_BY:
+        while any(a.busy(bool(followed)) for a in self.acceptors) and trio.current_time() < began + FINISH_BY:
             await trio.sleep(LOOK_EVERY)
         self.decider.post(i.Closing())
         await trio.sleep(LAST_WRITES)
+        while any(a.pouring() for a in self.acceptors) and trio.current_time() < began + POUR_MOST:
+            await trio.sleep(LOOK_EVERY)
         if self.extra is not None:
             await self.extra.finish()
 
--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from gorsefork.memory.flow import Flow
+
 if TYPE_CHECKING:
     from gorsefork.memory.delegation import Delegation
     from gorsefork.memory.figures import Figures, Kind
@@ -19,6 +21,28 @@
     media: str = ""
 
 
+class Sink(Protocol):
+    """Where a long answer goes, piece by piece."""
+
+    async def pass_on(self, piece: bytes) -> None:
+        """As fast as the client reads. ``OSError``, ``trio.TooSlowError`` or ``trio.ClosedResourceError``
+        once it reads no more; cancelled, the answer is torn."""
+        ...
+
+    def end(self, whole: bool) -> None:
+        """No more comes. One that is not whole is ended so that the client can tell."""
+        ...
+
+
+@dataclass(slots=True, eq=False)
+class Long:
+    """As ``Served``, but too large to hold: its body follows through ``sink``, which the front sets."""
+
+    media: str
+    length: int | None  # in bytes; None where it is not told ahead
+    sink: Sink | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Overload:
     """An overload reply: declined, trying again is harmless. ``retry_after`` in seconds, 0: no advice."""
@@ -40,7 +64,8 @@
     body: bytes = b""
 
 
-Answer = Served | Overload | Failed | Denied
+Short = Served | Overload | Failed | Denied
+Answer = Short | Long
 
 
 class Permit(Protocol):
@@ -75,6 +100,8 @@
     over: bool = False
     contract: str = ""  # the plan that holds for it, where the book names one
     settled: bool = False  # a good answer has come: its use is recorded, if this installation records any
+    flow: Flow | None = None  # its body, where that is passed on as it comes; ``body`` is empty then
+    left: int = 0  # us that the client waits from its last byte on
     delegations: list[Delegation] = field(default_factory=list)
     figures: Figures | None = None  # where its end is counted
 
@@ -83,11 +110,21 @@
         if self.over:
             return False
         self.over = True
-        self.count("fulfilled" if isinstance(answer, Served) else
-                   "throttled" if isinstance(answer, Overload) else "faulted")
+        if not isinstance(answer, Long):  # that one has its end still to come
+            self.count("fulfilled" if isinstance(answer, Served) else
+                       "throttled" if isinstance(answer, Overload) else "faulted")
         self.reply(answer)
         return True
 
+    def uploaded(self, now: int) -> None:
+        """The last byte of a body has come that was passed on: its time counts from here."""
+        self.ends_at = now + self.left
+        for delegation in self.delegations:
+            if not delegation.ended:
+                delegation.ends_at = self.ends_at
+                if delegation.due_anew is not None:
+                    delegation.due_anew()
+
     def count(self, kind: Kind) -> None:
         if self.figures is not None:
             self.figures.ended[kind][self.cls] += 1
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -10,7 +10,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import Gatekeeper
-from gorsefork.memory.call import Answer, Call, Denied, Failed, Overload, Served
+from gorsefork.memory.call import Answer, Call, Denied, Failed, Long, Overload, Served
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.delegation import NEVER_RAN, Delegation, Ending
 from gorsefork.memory.figures import Figures
@@ -99,6 +99,32 @@
         self.post(i.Outcome(call.id, delegation.number, delegation.host, ending.status, latency,
                             call.over or call.settled, billed=ending.billed))
 
+    async def opened(self, delegation: Delegation, answer: Long, billed: float) -> bool:
+        """A good answer begins that is too large to hold: whether it is this one that the client gets.
+
+        For the module it has ended well: what is left is to pass on bytes. Nothing of it may be sent again.
+        """
+        call = delegation.call
+        if call.over or call.settled:
+            return False
+        if self.uses is not None:
+            call.settled, recorded, kept = True, trio.Event(), list[bool]()
+
+            def then(good: bool) -> None:
+                kept.append(good)
+                recorded.set()
+
+            self.timers.set(max(self.clock.now, call.ends_at), LATE + call.id, call.id)
+            self.uses.record(call, round((billed or call.units) * MILLION), then)
+            await recorded.wait()
+            if not kept[0]:
+                call.finish(Failed())
+        first = call.finish(answer)
+        delegation.ended = delegation.may_have_run = True
+        self.post(i.Outcome(call.id, delegation.number, delegation.host, "ok" if first else "error",
+                            max(0, self.clock.now - delegation.sent_at) / SECOND, True, billed=billed))
+        return first
+
     def settle(self, uses: Uses | None, call: Call, ending: Ending) -> None:
         """The first good answer's units are recorded before the answer's first byte leaves, whoever still
         waits for it; not kept, or not in time, the client hears that it failed."""
@@ -186,7 +212,8 @@
         ends = min(call.ends_at, now + round(action.timeout * SECOND)) if action.timeout else call.ends_at
         delegation = Delegation(call, len(call.delegations), action.server, now, ends)
         call.delegations.append(delegation)
-        if call.over:  # it ended in the batch that the module answers here
+        gone = call.flow is not None and call.flow.taken  # nobody has its body a second time
+        if call.over or gone:  # it ended in the batch that the module answers here
             self.ended(delegation, Ending("moot"))
         else:
             self.boxes.delegate(delegation)
--- a/gorsefork/memory/delegation.py
+++ b/gorsefork/memory/delegation.py
@@ -25,6 +25,8 @@
     may_have_run: bool = False
     called_off: bool = False
     stop: Callable[[], None] | None = None  # set by whoever carries it out
+    due_anew: Callable[[], None] | None = None  # the same, for another ``ends_at``
+    due_never: Callable[[], None] = lambda: None  # its answer is passed on: no end of its time cuts it off
 
     def wrote(self) -> None:
         """Its last byte has left."""
@@ -46,3 +48,4 @@
     body: bytes = b""
     media: str = ""
     billed: float = 0.0
+    passed: bool = False  # the module was told when it began to pass
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -4,6 +4,7 @@
 
 import math
 import socket
+import struct
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
@@ -12,20 +13,25 @@
 import h11
 import trio
 
-from gorsefork.memory.call import Answer, Call, Denied, Failed, Overload, Served
+from gorsefork.memory.call import Answer, Call, Denied, Failed, Long, Overload, Served, Short
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.flow import MOST_HELD, Flow
 from gorsefork.wire.stream import Stream, address
 
-MOST_BODY = 65536
+MOST_BODY = 33 << 20  # bytes of a request's body, where it is passed on as it comes; else ``MOST_HELD``
 MOST_HEAD = 16384
 BACKLOG = 1024
 MOST_DISCARDED = 1 << 18  # bytes that are read and dropped behind a last answer
-REQUEST_WITHIN = 2.5  # s from the first byte of a request to its last
+MOST_REFUSED = 64 << 20  # the same where they belong to a body that was answered before its end
+REQUEST_WITHIN = 2.5  # s from the first byte of a request to its last, or to the end of its head
+BODY_GAP = 1.5  # s between two pieces of a body, beyond that
+UPLOAD_MOST = 600_000_000  # us for a body in all: 32 MB take 512 s at 64 kB/s
 IDLE_FOR = 2_200_000  # us that a connection may stand with no request, a new one too
 REAP_EVERY = 0.25  # s between looks for those
 PENALTY = 0.25  # s until a client that was answered with an error is read on
-FLUSH_WITHIN = 10.0  # s that a client may take to read an answer
+FLUSH_WITHIN = 10.0  # s that a client may take to read an answer, or a piece of a long one
 LINGER = 1.0  # s that a client has to read its last answer and close
+LINGER_REFUSED = 3.0  # the same where it still sends a body
 FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
 # us since clients were sent away: until then the front may not know of it yet; by then no connection is to be
 # idle, as at 4 s none may have been used in the 2 s before.
@@ -52,6 +58,8 @@
     call: Call | None = None
     left: Callable[[], None] = lambda: None
     answered: bool = False
+    flow: Flow | None = None  # its body, where that is passed on as it comes
+    discarded: int = 0  # bytes of that, so far
 
     def text(self, name: bytes) -> str:
         return self.headers.get(name, b"").decode("latin-1")
@@ -60,7 +68,7 @@
         self.reply(Denied(status, headers))
 
 
-def fault_of(head: h11.Request, headers: Mapping[bytes, bytes]) -> int:
+def fault_of(head: h11.Request, headers: Mapping[bytes, bytes], most: int) -> int:
     """The status for a head that no front may take, 0 if there is none.
 
     Guards against a request hidden in the body of another: two lengths are one too many, and a server that
@@ -71,6 +79,8 @@
     chunked, length = b"transfer-encoding" in headers, headers.get(b"content-length")
     if chunked and length is not None:
         return 400
+    if length is not None and int(length) > most:
+        return 413
     has_body = chunked or (length is not None and int(length) > 0)
     return 400 if has_body and head.method in BODILESS else 0
 
@@ -78,6 +88,7 @@
 class Front(Protocol):
     """What the acceptor asks of a front."""
 
+    passes: bool  # whether bodies beyond ``MOST_HELD`` are passed on as they come
     whole_seconds: bool  # whether ``Retry-After`` must be a whole number
 
     def begin(self, exchange: Exchange) -> None:
@@ -96,8 +107,11 @@
         self.flushing = self.advancing = False
         self.scope = trio.CancelScope()
         self.last = False  # nothing more is read from this client
+        self.refused = False  # answered in the middle of a body
         self.paused = False  # it is not read on for a while
         self.errors = self.discarded = 0
+        self.unsent_head: list[bytes] = []  # of a long answer, until its first piece goes with it
+        self.pouring = self.closes = False  # a long answer is on its way; it is the last
 
     async def run(self) -> None:
         with self.scope:
@@ -105,6 +119,7 @@
                 while data := await self.stream.receive():
                     if self.take(data):
                         break
+                    await self.hold_back()
                     while self.paused:
                         # Guards against a client that asks the same again as soon as it is turned away:
                         # at full speed a few of those would take all of this ingress's time.
@@ -113,7 +128,10 @@
                         self.advance()
             except (OSError, trio.ClosedResourceError):
                 pass  # the client's own affair, and the end of this connection only
-        if self.scope.cancelled_caught and self.exchange is not None and self.exchange.call is None:
+        exchange = self.exchange
+        if self.scope.cancelled_caught and exchange is not None and not exchange.answered:
+            if exchange.call is not None:  # it stopped in the middle of a body that was being passed on
+                exchange.left()
             self.reject(408)
         self.finish()
 
@@ -121,17 +139,30 @@
         """Feed what came; whether this client sends too much ahead of its answer, or behind its last."""
         if self.last:
             self.discarded += len(data)
-            return self.discarded > MOST_DISCARDED
+            return self.discarded > (MOST_REFUSED if self.refused else MOST_DISCARDED)
         if self.exchange is None and self.scope.deadline == math.inf:
             self.scope.deadline = trio.current_time() + REQUEST_WITHIN  # lifted once the request is whole
         self.http.receive_data(data)
         self.advance()
-        return self.exchange is not None and len(self.http.trailing_data[0]) > MOST_BODY + MOST_HEAD
+        if self.exchange is not None and self.scope.deadline < math.inf:  # in the middle of a body
+            self.scope.deadline = max(self.scope.deadline, trio.current_time() + BODY_GAP)
+        return self.exchange is not None and len(self.http.trailing_data[0]) > MOST_HELD + MOST_HEAD
+
+    async def hold_back(self) -> None:
+        """Read on from the client once its body can be passed on; it is not to blame for that wait."""
+        flow = self.exchange.flow if self.exchange is not None else None
+        if flow is not None and flow.full() and self.scope.deadline < math.inf:
+            self.scope.deadline = trio.current_time() + UPLOAD_MOST / 1e6
+            await flow.wait_for_room()
+            if not self.last:
+                self.scope.deadline = trio.current_time() + BODY_GAP
 
     def finish(self) -> None:
         exchange, self.exchange = self.exchange, None
         self.stream.close()
         self.acceptor.closed(self)
+        if exchange is not None and exchange.flow is not None:
+            exchange.flow.tear()
         if exchange is not None and not exchange.answered:
             exchange.answered = True
             exchange.left()
@@ -164,7 +195,8 @@
                 for name, value in event.headers:  # what stands twice is joined, as its readers expect
                     seen = headers.get(bytes(name))
                     headers[bytes(name)] = bytes(value) if seen is None else seen + b", " + bytes(value)
-                if fault := fault_of(event, headers):
+                most = MOST_BODY if self.acceptor.front.passes else MOST_HELD
+                if fault := fault_of(event, headers, most):
                     self.reject(fault)
                     return
                 self.exchange = exchange = Exchange(
@@ -172,17 +204,41 @@
                     self.acceptor.clock.now, lambda answer: None)
                 exchange.reply = lambda answer, exchange=exchange: self.reply(exchange, answer)  # type: ignore[misc]
             elif isinstance(event, h11.Data) and self.exchange is not None:
-                self.exchange.body += event.data
-                if len(self.exchange.body) > MOST_BODY:
-                    self.reject(413)
-                    return
+                self.body(self.exchange, event.data)
             elif isinstance(event, h11.EndOfMessage) and self.exchange is not None:
                 self.scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
-                self.exchange.came_at = self.acceptor.clock.now  # its time counts from its last byte
-                self.acceptor.front.begin(self.exchange)
+                exchange, now = self.exchange, self.acceptor.clock.now
+                if exchange.flow is None:
+                    exchange.came_at = now  # its time counts from its last byte
+                    self.acceptor.front.begin(exchange)
+                    continue
+                if exchange.call is not None:
+                    exchange.call.uploaded(now)
+                exchange.flow.end()
             else:  # paused behind the request in hand, or the client has closed
                 return
 
+    def body(self, exchange: Exchange, piece: bytes) -> None:
+        """Held whole while it is small; beyond that the call begins, and its body passes through."""
+        if exchange.flow is not None:
+            exchange.flow.put(bytes(piece))
+            exchange.discarded += len(piece)
+            if exchange.discarded > MOST_BODY:
+                exchange.flow.tear()
+                self.reject(413)
+            return
+        exchange.body += piece
+        if len(exchange.body) <= MOST_HELD:
+            return
+        if not self.acceptor.front.passes:
+            self.reject(413)
+            return
+        length = exchange.headers.get(b"content-length")
+        exchange.flow = Flow(int(length) if length is not None else None, bytes(exchange.body))
+        exchange.discarded, exchange.body = len(exchange.body), bytearray()
+        exchange.came_at = self.acceptor.clock.now
+        self.acceptor.front.begin(exchange)
+
     def reject(self, status: int) -> None:
         """A request that cannot be read or is too large: a plain answer, and nothing more is read."""
         exchange = self.exchange or Exchange("", "", {}, 0, lambda answer: None)
@@ -197,7 +253,13 @@
         if isinstance(answer, Denied) and answer.status in NO_CALL:
             self.errors += 1
             last, self.paused = last or self.errors > 1, True
-        last = last or self.acceptor.closing or self.acceptor.away_since is not None
+        self.refused = self.http.their_state is h11.SEND_BODY
+        if exchange.flow is not None:
+            exchange.flow.drop()
+        last = last or self.refused or self.acceptor.closing or self.acceptor.away_since is not None
+        if isinstance(answer, Long):
+            self.begin_long(answer, last)
+            return
         status, headers, body = to_http(answer, self.acceptor.front.whole_seconds)
         headers.append((b"Content-Length", str(len(body)).encode()))
         if last:
@@ -205,6 +267,10 @@
         head = exchange.method == "HEAD"
         self.write(h11.Response(status_code=status, headers=headers),
                    *([h11.Data(body)] if body and not head else []), h11.EndOfMessage())
+        self.answered(last)
+
+    def answered(self, last: bool) -> None:
+        """On to the next request, or to the end of this connection."""
         self.exchange = None
         if self.stream.closed:
             return
@@ -218,6 +284,40 @@
             if not self.flushing:
                 self.linger()
 
+    def begin_long(self, answer: Long, last: bool) -> None:
+        """The head; it leaves with the first piece. What follows comes from the delegation's own task."""
+        headers: Headers = [(b"Content-Type", answer.media.encode("latin-1"))] if answer.media else []
+        if answer.length is not None:
+            headers.append((b"Content-Length", str(answer.length).encode()))
+        if last:
+            headers.append((b"Connection", b"close"))
+        self.unsent_head = self.http.send_with_data_passthrough(
+            h11.Response(status_code=200, headers=headers)) or []
+        self.pouring, self.closes = True, last
+        answer.sink = self
+
+    async def pass_on(self, piece: bytes) -> None:
+        parts = self.http.send_with_data_passthrough(h11.Data(piece)) or []
+        head, self.unsent_head = self.unsent_head, []
+        try:
+            with trio.fail_after(FLUSH_WITHIN):
+                await self.stream.send([*head, *parts])
+        except BaseException:
+            self.stream.close()  # what was sent has no good end any more
+            raise
+
+    def end(self, whole: bool) -> None:
+        self.pouring = False
+        if self.stream.closed:
+            return
+        if not whole:
+            # Guards against an answer that looks whole where only the connection's end says so.
+            self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.stream.close()
+            return
+        self.write(h11.EndOfMessage())
+        self.answered(self.closes or self.acceptor.closing)
+
     def write(self, *events: h11.Event) -> None:
         parts = [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
         if self.stream.closed:
@@ -250,7 +350,8 @@
     def linger(self) -> None:
         """Guards against a reset that would overtake the answer: the client is to close first."""
         self.stream.end_writing()
-        self.scope.deadline = min(self.scope.deadline, trio.current_time() + LINGER)
+        within = LINGER_REFUSED if self.refused else LINGER
+        self.scope.deadline = min(self.scope.deadline, trio.current_time() + within)
 
     def close_if_idle(self) -> None:
         """What has arrived unread is read first: it may be a call that this ingress has taken by that.
@@ -267,7 +368,7 @@
             self.linger()
 
 
-def to_http(answer: Answer, whole_seconds: bool) -> tuple[int, Headers, bytes]:
+def to_http(answer: Short, whole_seconds: bool) -> tuple[int, Headers, bytes]:
     if isinstance(answer, Served):  # a box may use any bytes there, so they go back as they came
         return 200, [(b"Content-Type", answer.media.encode("latin-1"))] if answer.media else [], answer.body
     if isinstance(answer, Overload):
@@ -408,6 +509,10 @@
         return any(c.exchange is not None or c.flushing
                    or (heads and not c.last and c.scope.deadline < math.inf) for c in self.connections)
 
+    def pouring(self) -> bool:
+        """Whether a long answer is on its way."""
+        return any(c.pouring for c in self.connections)
+
     def close_idle(self, heads: bool = True) -> None:
         """``heads``: those too on which a request has begun that is not whole."""
         for connection in list(self.idle):
--- a/gorsefork/wire/boxes.py
+++ b/gorsefork/wire/boxes.py
@@ -4,20 +4,23 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 import trio
 
+from gorsefork.memory.call import Long, Sink
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.delegation import Delegation, Ending
+from gorsefork.memory.flow import MOST_HELD, Flow, Torn
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.registry import Host, Registry
 from gorsefork.wire.stream import Stream, connect
 
-MOST_BODY = 65536
+MOST_BODY = 33 << 20  # bytes of an answer; a longer one is spoilt
 MOST_WAITING = 512  # orders that one box's actor may have unread
 REST_WITHIN = 0.25  # s between two parts of one answer
+POUR_WITHIN = 10.0  # s between two parts of one that is passed on already: its end is owed
 MOST_ASIDES = 8  # 1xx answers ahead of one
 RETIRE_SHARE = 0.75  # of the keep-alive time that a connection may stand idle here
 
@@ -25,8 +28,8 @@
 class Link:
     """One connection to a tour box; it carries one delegation at a time."""
 
-    def __init__(self, stream: Stream, life: int) -> None:
-        self.stream, self.http = stream, h11.Connection(h11.CLIENT)
+    def __init__(self, stream: Stream, life: int, fleet: Fleet) -> None:
+        self.stream, self.http, self.fleet = stream, h11.Connection(h11.CLIENT), fleet
         self.clean, self.idle_since, self.life = True, 0, life
 
     async def ask(self, delegation: Delegation, authority: str, left_ms: int) -> Ending:
@@ -36,23 +39,40 @@
         headers = [("Host", authority), ("X-Trace-Id", call.trace), ("X-Expires-In-Ms", str(left_ms))]
         if call.key:
             headers.append(("Idempotency-Key", call.key))
-        if call.method != "GET" or call.body:
+        if call.flow is not None and call.flow.length is None:
+            headers.append(("Transfer-Encoding", "chunked"))
+        elif call.flow is not None:
+            headers.append(("Content-Length", str(call.flow.length)))
+        elif call.method != "GET" or call.body:
             headers.append(("Content-Length", str(len(call.body))))
         request = h11.Request(method=call.method, target=call.target, headers=headers)
         body = [h11.Data(call.body)] if call.body else []
-        parts = [part for event in (request, *body, h11.EndOfMessage())
-                 for part in self.http.send_with_data_passthrough(event) or ()]
+        end = [h11.EndOfMessage()] if call.flow is None else []
         try:
-            await self.stream.send(parts)
-        except OSError:
+            await self.send(request, *body, *end)
+            if call.flow is not None:
+                await self.upload(call.flow)
+        except (OSError, Torn):
             return Ending("connect_failed")
         delegation.wrote()
+        if call.flow is not None:
+            delegation.sent_at = self.fleet.clock.now  # what came before is the client's time
         try:
-            return await self.answer()
+            return await self.answer(delegation)
         except (OSError, h11.RemoteProtocolError, trio.TooSlowError):
             return Ending("reset")
 
-    async def answer(self) -> Ending:
+    async def send(self, *events: h11.Event) -> None:
+        await self.stream.send([part for event in events
+                                for part in self.http.send_with_data_passthrough(event) or ()])
+
+    async def upload(self, flow: Flow) -> None:
+        """A body as it comes: a little of it is held at a time."""
+        while pieces := await flow.get():
+            await self.send(*map(h11.Data, pieces))
+        await self.send(h11.EndOfMessage())
+
+    async def answer(self, delegation: Delegation) -> Ending:
         head, body, asides, begun = None, bytearray(), 0, False
         while True:
             event = self.http.next_event()
@@ -67,13 +87,11 @@
                     return Ending("error")
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > MOST_BODY:
-                    return Ending("error")
+                if len(body) > MOST_HELD:
+                    assert head is not None
+                    return await self.long(delegation, head, bytes(body))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                self.clean = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-                if self.clean:
-                    self.http.start_next_cycle()
-                    self.clean = not self.http.trailing_data[0]
+                self.rest()
                 return ending(head, bytes(body))
             elif isinstance(event, h11.InformationalResponse) and asides < MOST_ASIDES:
                 asides, begun = asides + 1, False
@@ -81,6 +99,52 @@
                 return Ending("reset")
 
 
+    def rest(self) -> None:
+        """Behind a whole answer: whether this connection may carry another delegation."""
+        self.clean = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        if self.clean:
+            self.http.start_next_cycle()
+            self.clean = not self.http.trailing_data[0]
+
+    async def long(self, delegation: Delegation, head: h11.Response, begun: bytes) -> Ending:
+        """An answer too large to hold. Once its client gets it, it is that client's pace that counts."""
+        found = ending(head, b"")
+        if found.status != "ok":
+            return found
+        length = next((int(value) for name, value in head.headers if name == b"content-length"), None)
+        answer = Long(found.media, length)
+        if not await self.fleet.opened(delegation, answer, found.billed) or answer.sink is None:
+            return Ending("ok", passed=delegation.ended)  # another answer was first
+        delegation.due_never()
+        sink, whole = answer.sink, False
+        try:
+            await sink.pass_on(begun)
+            whole = await self.pour(sink, len(begun))
+        except (OSError, h11.RemoteProtocolError, trio.TooSlowError, trio.ClosedResourceError):
+            pass  # the server's end, or the client's: the client can tell
+        finally:
+            sink.end(whole)
+            delegation.call.count("fulfilled" if whole else "faulted")
+        return Ending("ok", passed=True)
+
+    async def pour(self, sink: Sink, size: int) -> bool:
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                with trio.fail_after(POUR_WITHIN):
+                    self.http.receive_data(await self.stream.receive())
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MOST_BODY:
+                    return False
+                await sink.pass_on(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.rest()
+                return True
+            else:
+                return False
+
+
 def too_long(head: h11.Response) -> bool:
     """Whether the answer can't be passed on: its body is over the bound, or it has two lengths."""
     sizes = [value for name, value in head.headers if name == b"content-length"]
@@ -155,6 +219,12 @@
         ending = None
         with trio.CancelScope(deadline=self.fleet.clock.trio_deadline(delegation.ends_at)) as scope:
             delegation.stop = scope.cancel
+
+            def due(at: float) -> None:
+                scope.deadline = at
+
+            delegation.due_anew = lambda: due(self.fleet.clock.trio_deadline(delegation.ends_at))
+            delegation.due_never = lambda: due(math.inf)
             if delegation.called_off:
                 scope.cancel()
             await trio.lowlevel.checkpoint_if_cancelled()
@@ -163,7 +233,8 @@
             ending = Ending("moot" if delegation.called_off else "connect_failed")
         elif ending is None:
             ending = Ending("cancelled" if delegation.called_off else "timeout")
-        self.fleet.ended(delegation, ending)
+        if not ending.passed:  # else its outcome was told when it began
+            self.fleet.ended(delegation, ending)
 
     async def exchange(self, delegation: Delegation) -> Ending:
         link = self.idle_link() or await self.new_link()
@@ -179,7 +250,8 @@
             # The connect took its time: the box may drain by now, and the call may have had its answer.
             if call.over or not self.fleet.registry.may_send(self.host.name):
                 return Ending("moot")
-            left_ms = max(1, (delegation.ends_at - self.fleet.clock.now) // 1000)
+            left = call.left if call.flow is not None else delegation.ends_at - self.fleet.clock.now
+            left_ms = max(1, left // 1000)
             return await link.ask(delegation, self.host.dial, left_ms)
         finally:
             if link.clean and not self.retired and link.life == self.life and self.host.state == "ready":
@@ -205,15 +277,16 @@
             stream = await connect(self.host.dial, self.fleet.connect_timeout)
         finally:
             self.fleet.links -= stream is None
-        return None if stream is None else Link(stream, life)
+        return None if stream is None else Link(stream, life, self.fleet)
 
 
 class Fleet:
     """The actors of all tour boxes, and the bound on what they hold open together."""
 
     def __init__(self, clock: Clock, registry: Registry, ended: Callable[[Delegation, Ending], None],
-                 keepalive: float, connect_timeout: float, most_links: int) -> None:
-        self.clock, self.registry, self.ended = clock, registry, ended
+                 keepalive: float, connect_timeout: float, most_links: int,
+                 opened: Callable[[Delegation, Long, float], Awaitable[bool]]) -> None:
+        self.clock, self.registry, self.ended, self.opened = clock, registry, ended, opened
         self.idle_for, self.connect_timeout = round(keepalive * RETIRE_SHARE * SECOND), connect_timeout
         self.most_links, self.links = most_links, 0
         self.boxes: dict[str, TourBox] = {}
--- a/gorsefork/wire/fronts/control.py
+++ b/gorsefork/wire/fronts/control.py
@@ -100,7 +100,7 @@
 class ControlFront:
     """``status`` and ``usage`` tell how things stand, ``export`` sends what waits; ``start`` runs a task."""
 
-    whole_seconds = True
+    whole_seconds, passes = True, False
 
     def __init__(self, keeper: Keeper, secret: str, now: Callable[[], int],
                  status: Callable[[], dict[str, Any]], usage: Callable[[], dict[str, Any]],
--- a/gorsefork/wire/introspection.py
+++ b/gorsefork/wire/introspection.py
@@ -123,7 +123,7 @@
 class IntrospectionFront:
     """Same core, deadlines and quotas as the platform's front; ``start`` runs a task for it."""
 
-    whole_seconds = True
+    whole_seconds, passes = True, False
 
     def __init__(self, settings: i.Settings, gate: Gate, tenants: Tenants, claim: str, max_age_ms: int,
                  clock: Clock, take: Callable[[Call], None], gone: Callable[[Call], None],
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -8,7 +8,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.memory.call import Call, Denied, Overload
-from gorsefork.wire.acceptor import Exchange
+from gorsefork.wire.acceptor import UPLOAD_MOST, Exchange
 
 IDS = itertools.count(1)
 CUSTOMER = re.compile(r"[0-9a-fA-F]{16}")
@@ -31,7 +31,7 @@
 class PlatformFront:
     """``take`` and ``gone`` are the core's; ``ready``: all is up; ``healthy``: what clients hear."""
 
-    whole_seconds = False
+    whole_seconds, passes = False, True
 
     def __init__(self, settings: i.Settings, take: Callable[[Call], None], gone: Callable[[Call], None],
                  ready: Callable[[], bool], healthy: Callable[[], bool]) -> None:
@@ -86,12 +86,14 @@
         left_ms = whole(exchange.text(b"x-expires-in-ms"), 1, 86_400_000)
         values, ingresses = metering(exchange.text(b"x-metering")), self.settings.gatekeepers
         spread, first = values.get("spread", ""), values.get("first", "")
+        # What is passed on has its time from its last byte; until then the upload's own bounds hold.
+        ends_at = exchange.came_at + left_ms * 1000 + (0 if exchange.flow is None else UPLOAD_MOST)
         return Call(
             f"{next(IDS):x}", exchange.method, exchange.target, bytes(exchange.body), trace,
             exchange.text(b"idempotency-key"), cls, plan, customer.lower(), self.units(values),
             whole(spread, 1, ingresses), whole(first, 0, ingresses - 1),
-            exchange.came_at, exchange.came_at + left_ms * 1000, exchange.reply,
-            exchange.text(b"x-second-try") == "1")
+            exchange.came_at, ends_at, exchange.reply, exchange.text(b"x-second-try") == "1",
+            flow=exchange.flow, left=left_ms * 1000)
 
     def units(self, values: Mapping[str, str]) -> float:
         """Guards against a client that draws a customer's quota empty with one request."""
