Let silent newcomers and stuck heads give way first, and give clients half of the descriptors

Those without a request were bounded at a tenth of the descriptors and closed by their age: at 13 to 25 places a request that takes 2 s for its head is pushed out by a crowd of some ten a second. Now a place is taken in a written order: new ones that say nothing, heads that go no further, those that were served (they come back at no loss), last what may be about to ask; age counts from the last byte. Clients get half of the descriptors, less where the 34 that all else needs would not be left. Way not taken: a bound on the rate of accepting, as it turns back whoever asks next to the crowd.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -37,8 +37,9 @@
     from gorsefork.life.handover import Handover
     from gorsefork.life.installation import Installation
 
-CLIENT_SHARE, IDLE_SHARE = 0.4, 0.1  # of the descriptors: clients in all, and those without a request
-BOX_SHARE, SECOND_SHARE = 0.3, 0.1  # tour boxes, the second front's clients; the rest is for all else
+CLIENT_SHARE, BOX_SHARE, SECOND_SHARE = 0.5, 0.3, 0.1  # of the descriptors: clients, tour boxes, second front
+OTHERS = 34  # descriptors for all else: listeners, operators, counter, discovery, fellows, the loop's own
+IDLE_SHARE = 0.8  # of the clients' those without a request: new ones always find a place that is free
 DISCOVERY_PATIENCE = 0.3  # s at the start for discovery's first word, before this ingress is ready
 ACCEPT_FOR = 0.45  # s after SIGTERM: the front goes on sending new connections for up to 0.4 s
 LAST_REQUESTS = 0.1  # s for the requests on the last connections to be read
@@ -78,7 +79,7 @@
 
     def __init__(self, config: Config, clock: Clock, introspection: IntrospectionConfig | None,
                  extra: Installation | None = None) -> None:
-        self.config, self.extra = config, extra
+        self.config, self.extra, self.second = config, extra, introspection is not None
         self.log: Log = extra.log if extra is not None else log
         settings, sockets = config.settings, config.sockets
         self.clock, self.duty, self.ending = clock, Duty(), trio.Event()
@@ -104,8 +105,9 @@
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
         front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set,
                               self.duty.healthy)
-        self.acceptors = [Acceptor(config.listen, front, clock, int(sockets * CLIENT_SHARE),
-                                   int(sockets * IDLE_SHARE), config.listen_fd)]
+        most = self.most_clients(sockets)
+        self.acceptors = [Acceptor(config.listen, front, clock, most, int(most * IDLE_SHARE),
+                                   config.listen_fd)]
         if introspection is not None:
             self.acceptors.append(self.second_front(introspection, settings, sockets))
         if extra is not None:
@@ -133,11 +135,16 @@
         front.start = acceptor.start
         return acceptor
 
+    def most_clients(self, sockets: int) -> int:
+        """Guards against a crowd of clients that leaves no descriptor for operators, counter or discovery."""
+        second = SECOND_SHARE if self.second else 0.0
+        return max(4, min(int(sockets * CLIENT_SHARE), int(sockets * (1.0 - BOX_SHARE - second)) - OTHERS))
+
     def share_limits(self, shared: bool) -> None:
         """While two processes are this ingress, each may hold half of its connections."""
         sockets = self.config.sockets // 2 if shared else self.config.sockets
-        self.acceptors[0].most = int(sockets * CLIENT_SHARE)
-        self.acceptors[0].most_idle = int(sockets * IDLE_SHARE)
+        self.acceptors[0].most = most = self.most_clients(sockets)
+        self.acceptors[0].most_idle = int(most * IDLE_SHARE)
         self.fleet.most_links = int(sockets * BOX_SHARE)
 
     def begin_taking(self) -> None:
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -27,6 +27,7 @@
 BODY_GAP = 1.5  # s between two pieces of a body, beyond that
 UPLOAD_MOST = 600_000_000  # us for a body in all: 32 MB take 512 s at 64 kB/s
 IDLE_FOR = 2_200_000  # us that a connection may stand with no request, a new one too
+SILENT_AFTER, STUCK_AFTER = 250_000, 600_000  # us without a first byte; without the next one of a head
 REAP_EVERY = 0.25  # s between looks for those
 PENALTY = 0.25  # s until a client that was answered with an error is read on
 FLUSH_WITHIN = 10.0  # s that a client may take to read an answer, or a piece of a long one
@@ -107,6 +108,7 @@
         self.flushing = self.advancing = False
         self.scope = trio.CancelScope()
         self.last = False  # nothing more is read from this client
+        self.served = False  # it has had an answer
         self.refused = False  # answered in the middle of a body
         self.paused = False  # it is not read on for a while
         self.errors = self.discarded = 0
@@ -142,6 +144,9 @@
             return self.discarded > (MOST_REFUSED if self.refused else MOST_DISCARDED)
         if self.exchange is None and self.scope.deadline == math.inf:
             self.scope.deadline = trio.current_time() + REQUEST_WITHIN  # lifted once the request is whole
+        if self in self.acceptor.idle:
+            self.acceptor.idle[self] = self.acceptor.clock.now
+            self.acceptor.idle.move_to_end(self)
         self.http.receive_data(data)
         self.advance()
         if self.exchange is not None and self.scope.deadline < math.inf:  # in the middle of a body
@@ -276,6 +281,7 @@
             return
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not last:
             self.http.start_next_cycle()
+            self.served = True
             self.acceptor.idle[self] = self.acceptor.clock.now
             if self.http.trailing_data[0]:
                 self.advance()
@@ -491,7 +497,9 @@
             connection.close_if_idle()
 
     def evict(self) -> bool:
-        for connection in list(self.idle)[:8]:
+        """Take a place from one that asks nothing; ``False`` if there is none. What came is read first."""
+        order = sorted(self.idle, key=lambda c: self.rank(c, self.idle[c]))  # stable: longest so first
+        for connection in order[:8]:
             connection.close_if_idle()
             if connection.last:
                 connection.stream.close()
@@ -499,6 +507,16 @@
                 return True
         return False
 
+    def rank(self, connection: ClientConnection, since: int) -> int:
+        """Who gives way first: new ones that say nothing; heads that go no further; those that were served
+        (they come back at no loss); last what may be about to ask. The longest so goes first within each."""
+        quiet = self.clock.now - since
+        if connection.scope.deadline < math.inf:
+            return 1 if quiet > STUCK_AFTER else 4
+        if connection.served:
+            return 2
+        return 0 if quiet > SILENT_AFTER else 3
+
     def closed(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self.idle.pop(connection, None)
