Take again if the next process dies at once, and close no newcomer before it can ask

An old process that had handed over took no more, also when the next one died in that moment: clients waited on a socket that nobody served. Now it takes again until its own end; a test kills the next one just after it took (tests/test_handover.py).

--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -171,6 +171,10 @@
             self.note("the next one is gone: this one takes again")
             self.ingress.begin_taking()
 
+    def deserted(self) -> bool:
+        """Whether the one that this process gave all to is gone: until its own end, this one takes again."""
+        return self.handed and self.next is None
+
     def hello(self) -> dict[str, Any]:
         registry = self.ingress.registry
         return {"version": VERSION, "name": self.ingress.config.name, "away": self.ingress.duty.away,
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -151,7 +151,7 @@
 
     def begin_taking(self) -> None:
         """Clients and fellow ingresses come to this process from here on."""
-        if not self.duty.closing:
+        if not self.duty.closing or (self.handover is not None and self.handover.deserted()):
             self.acceptors[0].begin()
             self.acceptors[0].away(self.duty.away)
         if self.peers is not None:
@@ -257,7 +257,9 @@
             if not followed or acceptor is not self.acceptors[0]:
                 acceptor.stop_listening()
         await trio.sleep(LAST_REQUESTS)
-        while any(a.busy(bool(followed)) for a in self.acceptors) and trio.current_time() < began + FINISH_BY:
+        while trio.current_time() < began + FINISH_BY and (
+                any(a.busy(bool(followed)) for a in self.acceptors)
+                or (self.handover is not None and self.handover.deserted())):
             await trio.sleep(LOOK_EVERY)
         self.decider.post(i.Closing())
         await trio.sleep(LAST_WRITES)
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -27,6 +27,7 @@
 BODY_GAP = 1.5  # s between two pieces of a body, beyond that
 UPLOAD_MOST = 600_000_000  # us for a body in all: 32 MB take 512 s at 64 kB/s
 SILENT_AFTER = 250_000  # us without a first byte, from when on a new connection is taken for one of a crowd
+FRESH = 50_000  # us in which one that has just come may yet ask, also where many come at once
 IDLE_FOR = 2_200_000  # us that a connection may stand with no request, a new one too
 REAP_EVERY = 0.25  # s between looks for those
 PENALTY = 0.25  # s until a client that was answered with an error is read on
@@ -453,7 +454,7 @@
             if len(self.idle) >= self.most_idle:
                 # Guards against a crowd that connects and asks nothing: connections are few, and each
                 # that is held for one without a request is one less for those that have one.
-                self.evict()
+                self.evict(newcomers=False)
             try:
                 stream = Stream(self.sock.accept()[0])
             except BlockingIOError:
@@ -496,12 +497,15 @@
         for connection in idle[: -(-len(idle) // steps)]:
             connection.close_if_idle()
 
-    def evict(self) -> bool:
+    def evict(self, newcomers: bool = True) -> bool:
         """Take a place from one that asks nothing; ``False`` if there is none. What came is read first."""
         for _ in range(8):
             if not self.idle and not self.heads:
                 return False
             connection = self.first_to_go()
+            if not newcomers and not connection.served \
+                    and self.idle.get(connection, 0) + FRESH > self.clock.now:
+                return False  # many that come at once have not had the time to ask
             connection.close_if_idle()
             if connection.last:
                 connection.stream.close()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,7 +11,7 @@
 import trio
 from scenario import World, scenario
 
-from gorsefork.wire.acceptor import PENALTY, SILENT_AFTER
+from gorsefork.wire.acceptor import FRESH, PENALTY, SILENT_AFTER
 from gorsefork.wire.stream import Stream
 
 KEY = "Idempotency-Key=k1"
@@ -109,6 +109,21 @@
         with mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 60_000_000):
             scenario("", then=crowd)
 
+    def test_many_that_come_at_once_are_not_closed_before_they_can_ask(self) -> None:
+        async def then(world: World) -> None:
+            acceptor = world.ingresses[0].acceptors[0]
+            acceptor.most_idle = 2
+            for n in range(1, 7):
+                await world.play(f"c{n} send raw")
+            while len(acceptor.connections) < 6:
+                await trio.lowlevel.checkpoint()
+            assert not any(c.last for c in acceptor.connections)
+            for connection in acceptor.idle:
+                acceptor.idle[connection] -= FRESH  # they had their time
+            await world.play("c7 send GET /healthz\nc7 expect 200\nc1 wait")
+
+        scenario("", then=then)
+
     def test_silence_and_half_a_request_end_their_connections(self) -> None:
         with mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 100_000), \
                 mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.3), \
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -226,6 +226,23 @@
         self.more(20)
         self.assertNotIn("Traceback", self.logs())
 
+    def test_the_next_one_dies_just_after_it_took_and_the_old_one_takes_until_its_end(self) -> None:
+        self.addCleanup(setattr, Box, "hold", Box.hold)
+        Box.hold = 0.5
+        old, _ = self.start()
+        with socket.create_connection(self.door.getsockname(), 10) as busy:
+            waiting = threading.Thread(target=lambda: self.wrong.append(self.ask(busy, "t0")[:12]))
+            waiting.start()
+            new, _ = self.start()
+            old.send_signal(signal.SIGTERM)
+            self.until(lambda: "goes on with" in self.logs())
+            new.kill()
+            with socket.create_connection(self.door.getsockname(), 10) as sock:
+                self.assertTrue(self.ask(sock, "t1").startswith("HTTP/1.1 200"), self.logs())
+            waiting.join(10)
+        self.assertIn("this one takes again", self.logs())
+        self.assertEqual((self.wrong, old.wait(5)), (["HTTP/1.1 200"], 0))
+
     def test_whatever_stands_in_its_place_the_next_one_says_so_and_serves(self) -> None:
         for says in (b'{"hello": {"version"', b"\xff\n", b"[1]\n", b'{"hello": {}}\n',
                      json.dumps({"hello": {"version": VERSION, "name": "other"}}).encode() + b"\n",
