--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -117,8 +117,7 @@
     world.drive.run(4.0)
     world.check()
     assert set(world.ended) == set(world.requests)
-    # One attempt in eight is answered there, and servers start anew all the time: by that they carry little.
-    assert sum(len(s) for s in world.sends.values()) > 10
+    assert sum(len(s) for s in world.sends.values()) > 20
 
 
 def test_random_days_repeat_exactly() -> None:
