Go on alone where the link's message has another shape or a number beyond all bounds

Seen on reading the change again: a hello that is a list, or a version number of 1e999, raised AttributeError or OverflowError, which nothing caught: the next process would have ended at its start. Both are read as nonsense now, like the others; two cases more in tests/test_handover.py, seen to fail without it.

--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -22,6 +22,9 @@
 
 UNSERVED, LOOK_EVERY = 1.0, 0.05  # s for which clients wait on the socket all the time: nobody takes there
 
+# What another shape of a message, or a number beyond all bounds in it, comes to where it is read.
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+
 
 class Handover:
     """Both sides of it, for one process: first as the one that follows, later as the one that is followed."""
@@ -56,7 +59,7 @@
             with trio.fail_after(HELLO_WITHIN):
                 message = await link.hear()
             self.learn(message["hello"] if message else {})
-        except (BadLink, KeyError, TypeError, ValueError, trio.TooSlowError) as error:
+        except (BadLink, trio.TooSlowError, *UNREADABLE) as error:
             self.note(f"what serves here said nothing of use ({type(error).__name__}: {error})")
             await trio.aclose_forcefully(link.stream)
             return
@@ -123,7 +126,7 @@
     def go_on_with(self, given: Any) -> None:
         try:
             take_over(self.ingress.decider.gate, given, self.ingress.clock.unix(self.ingress.clock.now))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except UNREADABLE as error:
             self.note(f"what was left here can't be read ({type(error).__name__}: {error})")
             return
         self.note(f"goes on with {len(given['accounts'])} customers' accounts")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -244,7 +244,8 @@
         self.assertEqual((self.wrong, old.wait(5)), (["HTTP/1.1 200"], 0))
 
     def test_whatever_stands_in_its_place_the_next_one_says_so_and_serves(self) -> None:
-        for says in (b'{"hello": {"version"', b"\xff\n", b"[1]\n", b'{"hello": {}}\n',
+        for says in (b'{"hello": {"version"', b"\xff\n", b"[1]\n", b'{"hello": []}\n',
+                     b'{"hello": {"version": 1, "name": "n0", "list": {"hosts": [], "seq": 1e999}}}\n',
                      json.dumps({"hello": {"version": VERSION, "name": "other"}}).encode() + b"\n",
                      json.dumps({"hello": {"version": VERSION + 1, "name": "n0"}}).encode() + b"\n"):
             with self.subTest(says), socket.socket(socket.AF_UNIX) as place:
