--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -8,14 +8,14 @@
 
 import select
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
 import trio
 
 from gorsefork.decisions.handing import hand_over, take_over
 from gorsefork.memory.registry import Host, News
-from gorsefork.wire.services.succession import HELLO_WITHIN, VERSION, BadLink, Link, Place
+from gorsefork.wire.services.succession import HELLO_WITHIN, VERSION, BadLink, Link, Message, Place
 
 if TYPE_CHECKING:
     from gorsefork.life.start import Ingress
@@ -105,18 +105,12 @@
         self.ingress.begin_taking()
 
     async def hear_before(self, link: Link) -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.speak, link)
-            try:
-                while (message := await link.hear()) is not None:
-                    if "say" in message:
-                        self.ingress.desk.hear(str(message["say"]))
-                    elif "yours" in message and not self.taking.is_set():
-                        self.go_on_with(message["yours"])
-                        self.taking.set()
-            except BadLink as error:
-                self.note(f"the one before speaks no sense ({error}); this one goes on by what it has")
-            nursery.cancel_scope.cancel()
+        def heed(message: Message) -> None:
+            if "yours" in message and not self.taking.is_set():
+                self.go_on_with(message["yours"])
+                self.taking.set()
+
+        await self.hear(link, heed)
         self.before = None
         self.ingress.share_limits(False)
         if not self.taking.is_set():
@@ -155,19 +149,14 @@
         self.next, self.handed = link, False
         self.ingress.share_limits(True)
         link.say({"hello": self.hello()})
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.speak, link)
-            try:
-                while (message := await link.hear()) is not None:
-                    if "say" in message:
-                        self.ingress.desk.hear(str(message["say"]))
-                    elif "mine" in message and not self.handed:
-                        self.handed = True
-                        self.note("the next one takes, unasked")
-                        self.ingress.cease_taking()
-            except BadLink as error:
-                self.note(f"the next one speaks no sense ({error})")
-            nursery.cancel_scope.cancel()
+
+        def heed(message: Message) -> None:
+            if "mine" in message and not self.handed:
+                self.handed = True
+                self.note("the next one takes, unasked")
+                self.ingress.cease_taking()
+
+        await self.hear(link, heed)
         self.next = None
         self.ingress.share_limits(False)
         if self.handed:
@@ -195,6 +184,20 @@
         self.note("handed over")
         return True
 
+    async def hear(self, link: Link, heed: Callable[[Message], None]) -> None:
+        """Until the link ends; operators' calls are the same on both sides."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.speak, link)
+            try:
+                while (message := await link.hear()) is not None:
+                    if "say" in message:
+                        self.ingress.desk.hear(str(message["say"]))
+                    else:
+                        heed(message)
+            except BadLink as error:
+                self.note(f"the other process speaks no sense ({error})")
+            nursery.cancel_scope.cancel()
+
     async def speak(self, link: Link) -> None:
         try:
             await link.speak()
