Add the core of the fleet's own view: SWIM with Lifeguard, facts that merge, digests, parts

Need: an ingress knows the others by a fixed list and nothing of who lives. Design: gorsefork/fleet/ without I/O and clock. Facts of a name are a total order (life, over or not, incarnation, state, card) and merging takes the greater; suspicion travels, the verdict `unreachable` is each ingress's own, so that a healed cut brings suspicions, which are contradicted, and no verdicts. Nothing of it runs yet in service.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,16 +14,17 @@
     "memory": ("decisions",),
     "plans": ("decisions.interface",),
     "usage": (),
+    "fleet": (),
     "grpc": ("decisions.interface",),
     "storage": ("memory", "plans", "usage"),
     "wire.http1": ("wire.stream",),
     "wire.http2": (),
-    "wire.services": ("memory", "plans", "usage", "wire.http1"),
-    "wire.fronts": ("memory", "plans", "wire.acceptor", "wire.stream"),
+    "wire.services": ("memory", "plans", "usage", "fleet", "wire.http1"),
+    "wire.fronts": ("memory", "plans", "fleet", "wire.acceptor", "wire.stream"),
 }
 NO_WIRE = ("h11", "h2", "socket", "ssl", "sqlite3", "selectors")
 NO_IO = (*NO_WIRE, "trio", "os", "pathlib", "time", "threading")  # what subsystems that decide may not touch
-NO_IO_ROOMS = ("decisions", "plans", "usage", "grpc")
+NO_IO_ROOMS = ("decisions", "plans", "usage", "grpc", "fleet")
 
 
 def imports(path: Path) -> Iterator[str]:
