Keep tokens for cold servers as they were where four ingresses or fewer look at a server

At fault: cold_room let tokens lapse, and raised the duty, also where two or three ingresses look at a server, whose saved tokens are no burst.

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -28,7 +28,7 @@
 TRICKLE, FORGET = 1.0, 10.0  # s between probes of a silent server; life of a suspicion or 'full' not renewed
 TRIALS = 4.0  # of one suspect in a second, by all gatekeepers together
 FADE, ASSESS = 0.99, 0.5  # of an unsampled server's latency kept at each look; s between looks
-GOLDEN, TURN = 0.6180339887, 1 / 3  # of a turn from one place to the next; of the fall window, for a token
+GOLDEN, TURN, ABREAST = 0.6180339887, 1 / 3, 4.0  # of a turn, a place; of the fall window, a token; tokens
 CHOICES, CHOICES_MOST, COVER = 10, 20, 14  # servers looked at for one choice; gatekeepers that look at one
 CALLS_START, CALLS_LEAST = 20.0, 1.0  # counter calls a second: before anything is learned; when it is silent
 CALLS_ALL, CALLS_ALL_LEAST = 300.0, 200.0  # the same by all gatekeepers together, if that is less each
@@ -56,8 +56,7 @@
         self.carry, self.warm_sends, self.pace, self.errors = 0.0, 0.0, 1.0, 0.0
         self.service = {n: (c.aim / 8, c.aim / 16) for n, c in enumerate(settings.classes)}  # mean, deviation
         self.assessed_at, self.work = -math.inf, min(c.aim for c in settings.classes) / 8  # mean of all
-        self.few = 0  # of those ready, in their order, from which one is chosen
-        self.rest = max(TRICKLE, settings.gatekeepers / TRIALS)
+        self.few, self.rest = 0, max(TRICKLE, settings.gatekeepers / TRIALS)  # to choose of; s between trials
 
     def restart(self, server: Server, since: float) -> None:
         """Guards against pushing over what has just come back, told or only seen."""
@@ -81,9 +80,10 @@
         if warmth >= 1.0 or server.place >= self.few:  # it has no part in those it skips
             return warmth >= 1.0
         lookers = self.settings.gatekeepers * self.few / len(self.ready)  # that deal its part
-        rate = COLD_DUTY * warmth * max(self.carry, 1.0 / lookers / self.work)
+        many = lookers > ABREAST  # so that what all have saved might come at once: tokens lapse
+        rate = (COLD_DUTY if many else 1.0) * warmth * max(self.carry, 1.0 / lookers / self.work)
         credit = server.credit + rate * max(0.0, now - max(server.filled_at, server.cold_from))
-        late = credit % 1.0  # since its turn, in which a token is used or lapses: no burst of saved ones
+        late = credit % 1.0 if many else 0.0  # since its turn
         server.credit = min(credit, late + (late < rate * TURN * self.settings.guards.fall_window))
         server.filled_at = now
         return server.credit >= 1.0
