--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -30,6 +30,9 @@
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
 from gorsefork.wire.services.fellows import STALE_AFTER, Fellows
 
+if TYPE_CHECKING:
+    from gorsefork.wire.services.fleet_link import FleetLink
+
 MOST_CONTROL = 64  # connections to the control listener
 LAST_EXPORT = 1.0  # s at the end for what the accounts have not acknowledged
 
@@ -81,6 +84,7 @@
         self.recorder: Recorder | None = None
         self.exporter: Exporter | None = None
         self.acceptor: Acceptor | None = None
+        self.link: FleetLink | None = None
         self.exporting = trio.CancelScope()
         self.began = clock.now
 
@@ -101,6 +105,22 @@
                                  self.export)
             self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
             front.start = self.acceptor.start
+        if (fleet := self.given.fleet) is not None:
+            from gorsefork.life.fleet import fleet_link
+
+            folder = self.given.state.folder if self.given.state else ""
+            control = self.acceptor.where if self.acceptor is not None else ""
+            self.link = fleet_link(fleet, self.config.name, self.config.seed, folder, control, self.clock,
+                                   self.log, self.fleet_changed)
+            if self.given.control is not None:
+                from gorsefork.wire.fronts.fleet_calls import FleetCalls
+
+                front.routes.update(FleetCalls(self.link).routes)
+
+    def fleet_changed(self) -> None:
+        """The book's fellows are those that the view sees; the file's stay, as the way to them."""
+        if self.link is not None:
+            self.fellows.want(self.link.controls())
 
     def record_use(self, most_waiting: int, settings: i.Settings) -> None:
         given = self.given.usage
@@ -137,6 +157,8 @@
                 nursery.start_soon(self.export_until_the_end, self.exporter)
             if self.acceptor is not None:
                 nursery.start_soon(self.acceptor.run)
+            if self.link is not None:
+                nursery.start_soon(self.link.run)
 
     async def export_until_the_end(self, exporter: Exporter) -> None:
         with self.exporting:
@@ -155,7 +177,10 @@
                      event="plan.behind", unheard=unheard, newest=newest)
 
     async def finish(self) -> None:
-        """The end of a drain: this life's last number is told, if the accounts answer in time."""
+        """The end of a drain: goodbye to the fleet, and this life's last number is told, if the accounts
+        answer in time."""
+        if self.link is not None:
+            await self.link.say_goodbye()
         if self.exporter is None:
             return
         self.exporting.cancel()
@@ -171,6 +196,8 @@
             await self.exporter.flush()
 
     def close(self) -> None:
+        if self.link is not None:
+            self.link.close()
         if self.database is not None:
             self.database.close()
         self.log.close()
@@ -192,7 +219,8 @@
                 "book": {"changes": len(book.changes), "digest": book.digest(),
                          "newest": str(newest) if newest else None,
                          "kept_on_disk": self.database is not None},
-                "fellows": followers, "usage": self.usage()}
+                "fellows": followers, "usage": self.usage(),
+                "fleet": self.link.status() if self.link is not None else None}
 
     def usage(self) -> dict[str, Any]:
         if self.recorder is None or self.exporter is None:
--- a/gorsefork/life/operator.py
+++ b/gorsefork/life/operator.py
@@ -76,6 +76,43 @@
     most_waiting: int = Field(default=1_000_000, ge=100, le=100_000_000)
 
 
+class Fleet(Section):
+    """The fleet's own view. ``seeds``: where to ask for the others. ``advertise``: this ingress's host, and
+    maybe its port, as others reach it, where that is not ``listen``."""
+
+    listen: Dial
+    site: str = Field(min_length=1, max_length=64)
+    key_file: str = ""
+    advertise: str = ""
+    seeds: list[Dial] = Field(default=[], max_length=MOST_PEERS)
+    zone: str = Field(default="", max_length=12)
+    period_ms: int = Field(default=1000, ge=100, le=60_000)
+    timeout_ms: int = Field(default=300, ge=20, le=30_000)
+    quiet_ms: int = Field(default=3000, ge=0, le=600_000)
+    keep_s: int = Field(default=3600, ge=10, le=7 * 86_400)
+
+    def ported(self) -> bool:
+        """Whether ``advertise`` names a port too: one that leads to ``listen``."""
+        host, _, port = self.advertise.rpartition(":")
+        return port.isdigit() and (":" not in host or host.endswith("]")) and bool(host)
+
+    @model_validator(mode="after")
+    def reachable(self) -> Fleet:
+        host = ip_address(address(self.listen)[0])
+        if not host.is_loopback and not self.key_file:
+            raise ValueError("listen: off loopback a key_file is needed")
+        if host.is_unspecified and not self.advertise:
+            raise ValueError("advertise: is needed where listen names no address of its own")
+        if self.advertise:
+            try:
+                ip_address(address(self.advertise)[0] if self.ported() else self.advertise)
+            except ValueError:
+                raise ValueError("advertise: must be an IP address, with a port or without") from None
+        if self.timeout_ms > self.period_ms // 2:
+            raise ValueError("timeout_ms: must be half of period_ms at the most")
+        return self
+
+
 class Logs(Section):
     form: Literal["json", "text"] = "json"
 
@@ -85,6 +122,7 @@
     control: Control | None = None
     state: State | None = None
     usage: Usage | None = None
+    fleet: Fleet | None = None
     log: Logs = Logs()
 
 
--- a/gorsefork/wire/services/fellows.py
+++ b/gorsefork/wire/services/fellows.py
@@ -23,25 +23,50 @@
 
 
 class Fellows:
-    """One task a fellow. What a fellow tells that cannot be read is a fault of that fellow alone."""
+    """One task a fellow. What a fellow tells that cannot be read is a fault of that fellow alone. Those of
+    the file stay; others come and go with the fleet's view."""
 
     def __init__(self, dials: Sequence[str], authorization: str, clock: Clock, seed: int,
                  learn: Callable[[Sequence[Change]], Awaitable[str]], log: Log) -> None:
+        self.fixed = tuple(dials)
         self.followers = [Follower(dial) for dial in dials]
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.nursery: trio.Nursery | None = None
         self.authorization, self.clock, self.learn, self.log = authorization, clock, learn, log
         self.rng = random.Random(seed)
         self.asked = trio.Event()  # all have been, once at least
 
     async def run(self) -> None:
-        async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as self.nursery:
             for follower in self.followers:
-                nursery.start_soon(self.follow, follower)
+                self.nursery.start_soon(self.follow, follower)
             if not self.followers:
                 self.asked.set()
             await trio.sleep_forever()
 
+    def want(self, dials: Sequence[str]) -> None:
+        """Follow these beside those of the file, and no others."""
+        wanted = dict.fromkeys((*self.fixed, *dials))
+        for follower in [each for each in self.followers if each.dial not in wanted]:
+            self.followers.remove(follower)
+            if (scope := self.scopes.get(follower.dial)) is not None:
+                scope.cancel()
+        known = {each.dial for each in self.followers}
+        for dial in wanted:
+            if dial not in known:
+                self.followers.append(follower := Follower(dial))
+                if self.nursery is not None:
+                    self.nursery.start_soon(self.follow, follower)
+
     async def follow(self, follower: Follower) -> None:
         client = HttpClient(follower.dial, self.authorization, MOST_BODY)
+        with trio.CancelScope() as self.scopes[follower.dial]:
+            try:
+                await self.keep_asking(client, follower)
+            finally:
+                client.close()
+
+    async def keep_asking(self, client: HttpClient, follower: Follower) -> None:
         while True:
             await trio.sleep_until(self.clock.trio_deadline(follower.ask_at))
             before = follower.state(self.clock.now, STALE_AFTER)
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -20,6 +20,10 @@
 folder = "/var/lib/gorsefork/n0"
 [usage]
 accounts = "127.0.0.1:9300"
+[fleet]
+listen = "127.0.0.1:7946"
+site = "gallery"
+seeds = ["127.0.0.1:7947"]
 """
 
 
@@ -46,6 +50,17 @@
         "usage.colour: is not known"]),
     (('folder = "/var/lib/gorsefork/n0"', ""), ["state.folder: Field required"]),
     (("[control]", "[controls]"), ["controls: is not known"]),
+    (('"127.0.0.1:7946"', '"10.0.0.1:7946"'), ["fleet.listen: off loopback a key_file is needed"]),
+    (('"127.0.0.1:7946"', '"0.0.0.0:7946"\nkey_file = "k"'), [
+        "fleet.advertise: is needed where listen names no address of its own"]),
+    (('site = "gallery"', 'site = "gallery"\nadvertise = "here:7"'), [
+        "fleet.advertise: must be an IP address"]),
+    (('site = "gallery"', 'site = ""\nzone = "a much too long one"\nperiod_ms = 10'), [
+        "fleet.site: String should have at least 1 character",
+        "fleet.zone: String should have at most 12 characters",
+        "fleet.period_ms: Input should be greater than or equal to 100"]),
+    (('site = "gallery"', 'site = "gallery"\nperiod_ms = 500'), [
+        "fleet.timeout_ms: must be half of period_ms at the most"]),
     (("[control]", "[control"), ["file: is not TOML"])])
 def test_every_fault_is_told_at_once_each_with_its_key(change: tuple[str, str], faults: list[str]) -> None:
     with pytest.raises(BadOperatorFile) as refused:
