Pass a keeper's word back to the old process, share what uploads hold, and kill at each message of the link

Design: the next one says each word over the link (`word`), and the other takes it as if it had heard it: numbers of tries never meet. Bodies that pass through share 4 MiB, 4 KiB each at the least. Way not taken: the peers' socket shared by both (messages would be dealt out at random). Result: tests/test_handover.py stands in for either process and dies before, within and after each message (32 cases); tests/test_long.py holds 1, 200 and 5,000 bodies to their share.

--- a/gorsefork/fleet/membership.py
+++ b/gorsefork/fleet/membership.py
@@ -143,7 +143,7 @@
         self.heard_any = self.mending = False
         self.goodbyes: set[str] = set()
         self.refused_at: OrderedDict[tuple[str, str], int] = OrderedDict()
-        self.was_settled, self.was_part, self.part_since = False, "alone", now
+        self.was_settled, self.was_part, self.part_since, self.look_at = False, "alone", now, now
         self.begin_life(self.fact)
 
     # What others use.
@@ -163,10 +163,14 @@
         if self.gossip_at is not None:
             times_due.append(self.gossip_at)
         times_due += [errand.nack_at for errand in self.errands.values() if not errand.told][:1]
-        times_due += [m.suspicion.deadline() for m in self.view.members.values()
-                      if m.suspicion is not None and not m.lost]
+        times_due += [suspicion.deadline() for _, suspicion in self.suspects()]
         return min(times_due)
 
+    def suspects(self) -> list[tuple[Member, Suspicion]]:
+        """Those whose time runs here."""
+        found = (self.view.members[name] for name in self.view.suspects)
+        return [(member, member.suspicion) for member in found if member.suspicion is not None]
+
     def settled(self) -> bool:
         """No news for ``quiet``, nobody suspect or joining, and all digests heard since are this view's."""
         return not self.lacking()
@@ -281,20 +285,19 @@
         self.stalled = len(self.view.seen()) > 1
         self.errands.clear()
         self.probe_at = self.now
-        for member in self.view.members.values():
-            if member.suspicion is not None:
-                member.suspicion.began += gap
+        for _, suspicion in self.suspects():
+            suspicion.began += gap
         self.tell("stalled", self.name, self.life, "here", f"did not run for {gap / SECOND:.1f} s")
 
     def look_at_suspects(self) -> None:
-        for member in list(self.view.members.values()):
-            if member.suspicion is None or member.lost or self.now < member.suspicion.deadline():
+        for member, suspicion in self.suspects():
+            if self.now < suspicion.deadline():
                 continue
-            member.lost, member.since, member.by = True, self.now, "here"
+            self.view.lose(member, self.now)
             member.knock_at, member.knocks = self.now + KNOCK_FIRST * self.pace.period, 0
             self.agreed.pop(member.fact.name, None)
             self.tell("unreachable", member.fact.name, member.fact.life, "here",
-                      f"nobody contradicted {', '.join(sorted(member.suspicion.accusers))}")
+                      f"nobody contradicted {', '.join(sorted(suspicion.accusers))}")
 
     def look_at_probes(self) -> None:
         for serial, probe in list(self.probes.items()):
@@ -429,6 +432,10 @@
         return self.was_part == "majority" and self.settled()
 
     def look_at_whole(self) -> None:
+        """Each look costs as many steps as there are members: five times a period at the most."""
+        if self.now < self.look_at:
+            return
+        self.look_at = self.now + self.pace.period // 5
         part, settled = self.part(), self.settled()
         if settled:
             self.view.base = frozenset(m.fact.name for m in self.view.going())
@@ -609,6 +616,7 @@
             member.suspicion = Suspicion(self.now, round(suspicion_least(size, period) * SECOND),
                                          round(suspicion_most(size, period) * SECOND),
                                          min(CONFIRMS, max(0, size - 3)))
+            self.view.suspects.add(member.fact.name)
         member.suspicion.accusers.add(accuser)
 
     def confirm(self, member: Member, accuser: str) -> None:
--- a/gorsefork/fleet/view.py
+++ b/gorsefork/fleet/view.py
@@ -83,6 +83,8 @@
         self.changed_at = 0
         self.dropped = 0  # names that found no place
         self.total = 0  # of all marks
+        self.suspects: set[str] = set()  # those whose time runs here
+        self.seen_now: list[str] | None = None  # until the next change
         self.base: frozenset[str] = frozenset()  # the last settled fleet
 
     def __len__(self) -> int:
@@ -94,13 +96,20 @@
 
     def seen(self) -> list[str]:
         """Those taken for living: alive, or suspect and not yet given up. This one among them."""
-        return [name for name, m in self.members.items()
-                if m.fact.state in (State.ALIVE, State.SUSPECT) and not m.lost]
+        if self.seen_now is None:
+            self.seen_now = [name for name, m in self.members.items()
+                             if m.fact.state in (State.ALIVE, State.SUSPECT) and not m.lost]
+        return self.seen_now
+
+    def lose(self, member: Member, now: int) -> None:
+        """A suspect whose time is over: unreachable from here on."""
+        self.suspects.discard(member.fact.name)
+        member.lost, member.since, member.by, self.seen_now = True, now, "here", None
 
     def changed(self, member: Member, now: int) -> None:
         """Another mark of this member; the whole is not reckoned anew, or each change would cost all of
         them."""
-        self.number, self.changed_at = self.number + 1, now
+        self.number, self.changed_at, self.seen_now = self.number + 1, now, None
         old, member.mark = member.mark, member.reckoned()
         self.total ^= old ^ member.mark
 
@@ -127,6 +136,8 @@
         if fact.rank[:3] != member.fact.rank[:3] or fact.state != State.SUSPECT:
             member.suspicion, member.lost, member.knocks = None, False, 0
         member.fact = fact
+        if member.suspicion is None or member.lost:
+            self.suspects.discard(fact.name)
         self.changed(member, now)
         return member
 
@@ -136,7 +147,7 @@
         over = [m for m in self.members.values() if m.fact.terminal]
         if not over:
             return False
-        del self.members[min(over, key=lambda m: m.since).fact.name]
+        del self.members[min(over, key=lambda m: m.since).fact.name]  # one that is over is no suspect
         return True
 
     def take_note(self, note: Note, now: int) -> bool:
--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -14,6 +14,9 @@
 import trio
 
 from gorsefork.decisions.handing import hand_over, take_over
+from gorsefork.decisions.interface import PeerMessage
+from gorsefork.decisions.rules import NO, YES
+from gorsefork.decisions.state import Note
 from gorsefork.memory.registry import Host, News
 from gorsefork.wire.services.succession import HELLO_WITHIN, VERSION, BadLink, Link, Message, Place
 
@@ -44,6 +47,22 @@
             if link is not None:
                 link.say({"say": call})
 
+    def pass_on(self, message: PeerMessage) -> None:
+        """A keeper's word comes to the socket that was bound last: on a try of the one before it belongs
+        there. Whose it is tells its number, which the other does not know."""
+        note = Note.read(message.data, len(self.ingress.config.settings.plans))
+        if self.before is not None and note is not None and note.kind in (YES, NO):
+            self.before.say({"word": [message.sender, message.data.hex()]})
+
+    def hear_word(self, word: Any) -> None:
+        try:
+            sender, data = word
+            message = PeerMessage(int(sender), bytes.fromhex(data))
+        except (TypeError, ValueError, OverflowError) as error:
+            self.note(f"a word that can't be read ({type(error).__name__}: {error})")
+            return
+        self.ingress.decider.hear(message)
+
     def note(self, text: str) -> None:
         self.ingress.log(f"gorsefork: change of version: {text}", event="handover")
 
@@ -192,6 +211,8 @@
                 while (message := await link.hear()) is not None:
                     if "say" in message:
                         self.ingress.desk.hear(str(message["say"]))
+                    elif "word" in message:
+                        self.hear_word(message["word"])
                     else:
                         heed(message)
             except BadLink as error:
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -101,7 +101,7 @@
         self.counter = CounterClient(config.counter, clock, settings.accounting.counter_timeout,
                                      self.decider.post) if config.counter else None
         self.peers = PeerSocket(config.peer_listen, config.peers, config.peers_all, settings.me,
-                                self.decider.hear,
+                                self.hear_fellow,
                                 config.listen_fd is not None) if config.peer_listen else None
         self.decider.boxes, self.decider.discovery = self.fleet, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
@@ -126,6 +126,11 @@
     def note(self, text: str) -> None:
         self.log(text, event="note")
 
+    def hear_fellow(self, message: i.PeerMessage) -> None:
+        self.decider.hear(message)
+        if self.handover is not None:
+            self.handover.pass_on(message)
+
     def second_front(self, given: IntrospectionConfig, settings: i.Settings, sockets: int) -> Acceptor:
         client = IntrospectionClient(given.address, given.path, given.client_id, given.client_secret,
                                      given.timeout_ms / 1000, given.most_in_flight, self.clock, self.note)
--- a/gorsefork/memory/flow.py
+++ b/gorsefork/memory/flow.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+from weakref import WeakSet
+
 import trio
 
 MOST_HELD = 65536  # bytes of one body that are held whole; a larger one is passed on as it comes
+HELD_BY_ALL = 4 << 20  # bytes that all bodies passed on may hold; beyond that each holds less
+LEAST_HELD = 4096  # that each may hold, however many there are
 
 
 class Torn(Exception):
@@ -18,7 +23,10 @@
     first piece is taken nobody else can have the body: ``taken`` says so.
     """
 
+    open: ClassVar[WeakSet[Flow]] = WeakSet()  # those of which some is still to come or held
+
     def __init__(self, length: int | None, first: bytes) -> None:
+        self.open.add(self)
         self.length = length  # in all, in bytes; None where it is not told ahead
         self.pieces, self.held = [first], len(first)
         self.taken = self.ended = self.torn = self.dropped = False
@@ -31,7 +39,8 @@
         self.came.set()
 
     def full(self) -> bool:
-        return self.held >= MOST_HELD and not self.dropped
+        part = HELD_BY_ALL // max(1, len(self.open))
+        return self.held >= max(LEAST_HELD, min(MOST_HELD, part)) and not self.dropped
 
     async def wait_for_room(self) -> None:
         """Until there is room, or nobody wants the rest. Bounded by its reader's own bounds."""
@@ -41,15 +50,18 @@
 
     def end(self) -> None:
         self.ended = True
+        self.open.discard(self)
         self.came.set()
 
     def tear(self) -> None:
         self.torn = True
+        self.open.discard(self)
         self.came.set()
 
     def drop(self) -> None:
         """Nobody wants the rest: it is read and forgotten."""
         self.dropped, self.pieces, self.held = True, [], 0
+        self.open.discard(self)
         self.room.set()
 
     async def get(self) -> list[bytes]:
--- a/gorsefork/wire/services/fleet_link.py
+++ b/gorsefork/wire/services/fleet_link.py
@@ -100,7 +100,7 @@
         self.number = 0
         self.news = trio.Event()
         self.unsent = self.dropped = 0
-        self.seen_before: frozenset[str] = frozenset()
+        self.seen_before: list[str] = []
 
     @property
     def where(self) -> str:
@@ -173,8 +173,7 @@
         if events:
             self.news.set()
             self.news = trio.Event()
-        seen = frozenset(self.core.view.seen())
-        if seen != self.seen_before or events:
+        if (seen := self.core.view.seen()) is not self.seen_before:
             self.seen_before = seen
             self.changed()
         self.rearmed.set()
--- a/gorsefork/wire/services/succession.py
+++ b/gorsefork/wire/services/succession.py
@@ -5,6 +5,7 @@
     {"hello": {...}}    the one that serves, first: who it is, its bans, its list
     {"say": "..."}      either: an operator's call that was made at the other
     {"yours": {...}}    the one that serves: it takes no more; all that the next one needs to go on with
+    {"word": [...]}     the next one: a keeper's word that came to it, maybe on a try of the other
     {"mine": true}      the next one: it has begun to take, asked or not
 
 The link's end is the end of the other process. Nothing on it is waited for without a bound.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,12 +18,15 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any, ClassVar
+from unittest.mock import Mock
 
 from conftest import Driver, settings
 
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.handing import KEPT, hand_over, take_over
-from gorsefork.decisions.rules import Gatekeeper
+from gorsefork.decisions.rules import ASK, YES, Gatekeeper
+from gorsefork.decisions.state import Note
+from gorsefork.life.handover import Handover
 from gorsefork.wire.services.succession import VERSION
 
 EXAMPLE = Path(__file__).parents[1] / "examples" / "config.json"
@@ -155,6 +158,14 @@
         self.until(lambda: self.answered[0] >= enough)
 
 
+def connected(link: socket.socket, path: Path) -> bool:
+    try:
+        link.connect(str(path))
+    except OSError:
+        return False
+    return True
+
+
 def quiet(sock: socket.socket) -> bool:
     return not select.select([sock], [], [], 0)[0]
 
@@ -263,6 +274,76 @@
                 for log in self.folder.glob("log-*"):
                     log.unlink()
 
+    def serve_half(self, messages: list[bytes], step: int) -> None:
+        """Stand in the place of a process that serves, say what one said, and die at that step: before the
+        first, third and last byte of each message, and after it."""
+        path = self.folder / "gorsefork-n0.sock"
+        path.unlink(missing_ok=True)
+        whole, (message, quarter) = b"", divmod(step, 4)
+        for n, line in enumerate(messages):
+            part = (0, len(line) // 3, len(line) - 1, len(line))[quarter] if n == message else len(line)
+            whole += line[:part] if n <= message else b""
+        place = socket.socket(socket.AF_UNIX)
+        place.bind(str(path))
+        place.listen()
+
+        def play() -> None:
+            with place, place.accept()[0] as link:
+                link.sendall(whole)
+                link.settimeout(0.2)
+                self.assertRaises(OSError, link.recv, 1)
+
+        threading.Thread(target=play, daemon=True).start()
+
+    def test_the_one_before_dies_within_each_message_of_the_link(self) -> None:
+        old, ops = self.start()
+        self.assertTrue(self.call(ops, "set-down box-1").startswith("+OK"))
+        self.assertTrue(self.call(ops, "set-up box-1").startswith("+OK"))
+        with socket.create_connection(self.door.getsockname(), 10) as sock:
+            self.assertTrue(self.ask(sock, "t0").startswith("HTTP/1.1 200"))
+        with socket.socket(socket.AF_UNIX) as link:
+            link.connect(str(self.folder / "gorsefork-n0.sock"))
+            reader = link.makefile("rb")
+            said = [reader.readline()]
+            self.assertTrue(self.call(ops, "drain-off").startswith("+OK"))
+            said.append(reader.readline())
+            old.send_signal(signal.SIGTERM)
+            said.append(reader.readline())
+        self.assertEqual(old.wait(10), 0)
+        self.assertEqual([next(iter(json.loads(line))) for line in said], ["hello", "say", "yours"])
+        for step in range(4 * len(said)):
+            with self.subTest(step):
+                for log in self.folder.glob("log-*"):
+                    log.unlink()
+                self.serve_half(said, step)
+                new, _ = self.start()
+                whole = step == 4 * len(said) - 1
+                self.until(lambda w=whole: ("goes on with 1" if w else "gone and left nothing") in self.logs()  # type: ignore[misc]
+                           or "nothing of use" in self.logs())
+                with socket.create_connection(self.door.getsockname(), 10) as sock:
+                    self.assertTrue(self.ask(sock, f"t{step}").startswith("HTTP/1.1 200"), self.logs())
+                self.assertNotIn("Traceback", self.logs())
+                new.kill()
+                new.wait()
+
+    def test_the_next_one_dies_within_each_message_of_the_link(self) -> None:
+        old, ops = self.start()
+        lines = (b'{"say":"drain-on"}\n', b'{"say":"drain-off"}\n', b'{"word":[0,"79"]}\n', b'{"word":[0]}\n',
+                 b'{"mine":true}\n')
+        for line in lines:
+            for part in (0, len(line) // 3, len(line) - 1, len(line)):
+                with self.subTest((line, part)):
+                    with socket.socket(socket.AF_UNIX) as link:
+                        self.until(lambda end=link: connected(end, self.folder / "gorsefork-n0.sock"))  # type: ignore[misc]
+                        self.assertIn(b'"hello"', link.makefile("rb").readline())
+                        link.sendall(line[:part])
+                    with socket.create_connection(self.door.getsockname(), 10) as sock:
+                        self.assertTrue(self.ask(sock, f"{line[2:5]!r}{part}").startswith("HTTP/1.1 200"))
+        self.assertTrue(self.call(ops, "check").startswith("+OK"))
+        old.send_signal(signal.SIGTERM)
+        self.assertEqual(old.wait(10), 0)
+        self.assertNotIn("Traceback", self.logs())
+
     def greet(self, place: socket.socket, says: bytes) -> None:
         with place.accept()[0] as link:
             link.sendall(says)
@@ -310,6 +391,33 @@
         self.assertEqual({a.pending for a in old.gate.quota.accounts.values()}, {0.0})
         self.assertEqual(sum(a.pending for a in new.gate.quota.accounts.values()), pending)
 
+    def test_a_keepers_word_on_a_try_of_the_old_one_is_passed_back_to_it(self) -> None:
+        given = settings(plans=[i.Plan("small", rate=0.5, burst=1.0)], gatekeepers=4,
+                         limits=i.Limits(peer_messages=True))
+        old, new = Driver(given), Driver(given, seed=8)
+        asked = [a for n in range(9) for a in old.ask(customer=f"c{n}", spread=3, first=1)
+                 if isinstance(a, i.Tell)]
+        link = Mock()
+        there = Handover.__new__(Handover)
+        there.ingress, there.before = Mock(config=Mock(settings=given)), link
+        here = Handover.__new__(Handover)
+        here.ingress = Mock(decider=Mock(hear=lambda message: served.extend(old.feed(message))))
+        here.note = self.fail  # type: ignore[assignment]
+        served: list[i.Action] = []
+        for tell in asked:
+            note = Note.read(tell.data, 1)
+            assert note is not None and tell.peer is not None
+            for kind in (ASK, YES):  # what another asks is for the one that keeps, and stays there
+                message = i.PeerMessage(tell.peer, note._replace(kind=kind).packed())
+                there.pass_on(message)
+                self.assertEqual(new.feed(message) if kind == YES else [], [])
+        said = [call.args[0]["word"] for call in link.say.call_args_list]
+        self.assertEqual(len(said), len(asked))
+        for word in json.loads(json.dumps(said)):
+            here.hear_word(word)
+        self.assertGreater(len(asked), 2)
+        self.assertEqual(sum(isinstance(action, i.Send) for action in served), len(asked))
+
     def test_a_cold_server_stays_cold_at_the_next_one(self) -> None:
         old, new = Driver(settings()), Driver(settings(), seed=8)
         old.feed(i.ServerList("delta", [i.ServerEntry("s1", started=old.now)]))
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -11,12 +11,26 @@
 import trio
 from scenario import DEFAULTS, Wire, World, scenario
 
-from gorsefork.memory.flow import MOST_HELD
+from gorsefork.memory.flow import HELD_BY_ALL, LEAST_HELD, MOST_HELD, Flow
 
 BIG = random.Random(5).randbytes(700_000)
 PIECES = (1, 70_000, 3, 130_001, 65_536, 17)
 
 
+def test_many_bodies_share_what_all_may_hold() -> None:
+    before = len(Flow.open)
+    for count, least in ((1, MOST_HELD), (200, HELD_BY_ALL // (200 + before)), (5000, LEAST_HELD)):
+        flows = [Flow(None, b"") for _ in range(count)]
+        for flow in flows:
+            while not flow.full():
+                flow.put(bytes(1024))
+        held = sum(flow.held for flow in flows)
+        assert least * count <= held <= (least + 1024) * count
+        for n, flow in enumerate(flows):
+            (flow.end, flow.tear, flow.drop)[n % 3]()
+        assert len(Flow.open) == before
+
+
 def head(method: str, target: str, *lines: str, **given: str) -> bytes:
     """A request's head with all that a call needs."""
     headers = {**DEFAULTS, **({"Idempotency-Key": "k1"} if method == "POST" else {}), **given}
