Load the second front and its file's reader only where there is such a file

Start-up on the platform: gorsefork.life.introspection_config and wire.introspection cost 9.5 ms of some 200 of the import (-X importtime), and are loaded by nobody there now; tests/test_control.py names them among what must stay out.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -16,7 +16,6 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import BadConfig, Config, read_config
-from gorsefork.life.introspection_config import BadFile, IntrospectionConfig, from_environment, tenants_of
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.deciding import Decider
 from gorsefork.memory.desk import Desk
@@ -29,13 +28,12 @@
 from gorsefork.wire.datagrams import PeerSocket
 from gorsefork.wire.discovery import BadList, DiscoveryWatch, read_list
 from gorsefork.wire.fronts.operators import OperatorsFront
-from gorsefork.wire.introspection import Gate, IntrospectionFront
-from gorsefork.wire.introspection_client import IntrospectionClient
 from gorsefork.wire.platform import PlatformFront
 
 if TYPE_CHECKING:
     from gorsefork.life.handover import Handover
     from gorsefork.life.installation import Installation
+    from gorsefork.life.introspection_config import IntrospectionConfig
 
 CLIENT_SHARE, BOX_SHARE, SECOND_SHARE = 0.4, 0.3, 0.1  # of the descriptors: clients, tour boxes, second front
 OTHERS = 34  # descriptors for all else: listeners, operators, counter, discovery, fellows, the loop's own
@@ -48,7 +46,8 @@
 FINISH_BY = 3.3  # s after SIGTERM, the last answers; SIGKILL comes no sooner than at 3.7 s
 LAST_WRITES = 0.1  # s for answers to leave
 POUR_MOST = 60.0  # s after SIGTERM for long answers to leave, if nobody ends this process sooner
-OPERATOR = Path(__file__).parents[2] / "deploy" / "operator.toml"
+DEPLOY = Path(__file__).parents[2] / "deploy"
+OPERATOR, INTROSPECTION = DEPLOY / "operator.toml", DEPLOY / "introspection.toml"
 LOOK_EVERY = 0.02  # s between looks whether all have left
 
 
@@ -132,6 +131,10 @@
             self.handover.pass_on(message)
 
     def second_front(self, given: IntrospectionConfig, settings: i.Settings, sockets: int) -> Acceptor:
+        from gorsefork.life.introspection_config import tenants_of
+        from gorsefork.wire.introspection import Gate, IntrospectionFront
+        from gorsefork.wire.introspection_client import IntrospectionClient
+
         client = IntrospectionClient(given.address, given.path, given.client_id, given.client_secret,
                                      given.timeout_ms / 1000, given.most_in_flight, self.clock, self.note)
         front = IntrospectionFront(
@@ -277,10 +280,15 @@
 
 def main() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # outside of ``run`` it is to end nothing either
-    faults: tuple[type[Exception], ...] = (BadConfig, BadList, BadFile)
+    faults: tuple[type[Exception], ...] = (BadConfig, BadList)
     try:
         config = read_config(os.environ)
-        clock, introspection, extra = Clock(), from_environment(), None
+        clock, introspection, extra = Clock(), None, None
+        if os.environ.get("GORSEFORK_INTROSPECTION") or INTROSPECTION.exists():
+            from gorsefork.life.introspection_config import BadFile, from_environment
+
+            faults = (*faults, BadFile)
+            introspection = from_environment()
         if (path := operator_file(os.environ)) is not None:
             from gorsefork.life.installation import Installation
             from gorsefork.life.operator import BadOperatorFile, at_start
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -342,7 +342,8 @@
 
 def test_without_an_operators_file_there_is_no_control_and_nothing_of_it_is_loaded() -> None:
     heavy = ("msgspec", "pydantic", "pyrsistent", "structlog", "sqlite3", "click", "tabulate", "numpy",
-             "gorsefork.plans", "gorsefork.storage", "gorsefork.usage", "gorsefork.cli")
+             "gorsefork.plans", "gorsefork.storage", "gorsefork.usage", "gorsefork.cli", "gorsefork.fleet",
+             "gorsefork.wire.introspection", "gorsefork.life.introspection_config", "tomllib")
     code = f"import sys, gorsefork.life.start; print([m for m in {heavy} if m in sys.modules])"
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
