--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -23,6 +23,8 @@
 from pathlib import Path
 from typing import Any
 
+import trio
+
 sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
 
 from fleet_world import UNIX, World, halves
@@ -135,6 +137,77 @@
     report(argparse.Namespace(file=given.out, plots=None))
 
 
+def loopback(given: argparse.Namespace) -> None:
+    """Processes of the program beside the simulation, at the same pace: a crash and a cut, several times."""
+    import tempfile
+
+    from fleet_rig import rigged
+
+    period = 200_000
+    pace = Pace(period=period, timeout=60_000, quiet=500_000)
+
+    async def real(times: dict[str, list[float]]) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            async with rigged(Path(folder), 1) as rig:
+                first = await rig.start("n0", seeds=())
+                fleet = [first, *await rig.started(*(f"n{n}" for n in range(1, given.members)))]
+                await rig.settled(*fleet)
+                for turn in range(given.times):
+                    victim = fleet.pop(1 + turn % (given.members - 1))
+                    marks = [len(running.events) for running in fleet]
+                    await rig.kill(victim)
+                    died = trio.current_time()
+                    for running, mark in zip(fleet, marks, strict=True):
+                        await rig.event(running, "fleet.unreachable", victim.name, mark)
+                    times["detection"].append(trio.current_time() - died)
+                    await rig.settled(*fleet)
+                    times["settling"].append(trio.current_time() - died)
+                    fleet.append(await rig.start(victim.name))
+                    await rig.settled(*fleet)
+                half = {f"n{n}" for n in range(given.members // 2)}
+                for _ in range(given.times):
+                    rig.faults.cut = lambda one, other: (one in half) != (other in half)
+                    passed = rig.passed
+                    await rig.until(lambda p=passed: enough(rig.passed, p + 60 * given.members))  # type: ignore
+                    rig.faults.cut = lambda one, other: False
+                    healed = trio.current_time()
+                    await rig.settled(*fleet)
+                    times["healing"].append(trio.current_time() - healed)
+
+    def simulated(seed: int, times: dict[str, list[float]]) -> None:
+        world = World(given.members, seed, pace, 0.0, (0.0001, 0.001))
+        world.start(*world.places)
+        world.run_until(world.one_view, 60.0)
+        died = world.now
+        world.kill("n1")
+        others = [name for name in world.places if name != "n1"]
+        world.run_until(lambda: all(world.shown(n, "n1") == "unreachable" for n in others), 60.0, 0.05)
+        times["detection"].append(world.now - died)
+        world.run_until(lambda: world.one_view(others), 60.0, 0.05)
+        times["settling"].append(world.now - died)
+        world.start("n1")
+        world.run_until(world.one_view, 60.0)
+        world.cut = halves(f"n{n}" for n in range(given.members // 2))
+        world.run(6.0)
+        world.cut = lambda one, other: False
+        times["healing"].append(world.run_until(world.one_view, 60.0, 0.05))
+
+    found: dict[str, dict[str, list[float]]] = {"processes": defaultdict(list),
+                                                "simulated": defaultdict(list)}
+    trio.run(real, found["processes"])
+    for seed in range(20 * given.times):
+        simulated(seed, found["simulated"])
+    for where, times in found.items():
+        for what, seconds in times.items():
+            some = sorted(seconds)
+            print(f"{where:10} {what:10} least {some[0]:.2f}, median {some[len(some) // 2]:.2f}, "
+                  f"most {some[-1]:.2f} s of {len(some)}")
+
+
+async def enough(count: int, wanted: int) -> bool:
+    return count >= wanted
+
+
 def beyond(row: Row) -> list[str]:
     """Which bounds a run went beyond."""
     found = []
@@ -225,6 +298,10 @@
     some.add_argument("--processes", type=int, default=4)
     some.add_argument("--out", default="fleet_view.parquet")
     some.set_defaults(do=run)
+    beside = parts.add_parser("loopback", help="processes of the program beside the simulation")
+    beside.add_argument("--members", type=int, default=12)
+    beside.add_argument("--times", type=int, default=4)
+    beside.set_defaults(do=loopback)
     again = parts.add_parser("report", help="tables from such a file, and plots")
     again.add_argument("file")
     again.add_argument("--plots", default=None, help="a folder for fleet_view.png")
--- a/gorsefork/cli/fleet.py
+++ b/gorsefork/cli/fleet.py
@@ -97,6 +97,7 @@
 @click.option("--keep-s", type=int, default=None, help="How long one that is unreachable stays a member.")
 @click.option("--mend", type=int, default=None, help="Datagrams a period for exchanges of digests.")
 @click.option("--note-room", type=int, default=None, help="Bytes of a datagram for other subsystems' facts.")
+@click.option("--repeats", type=int, default=None, help="How often news is sent on, times log2 of the fleet.")
 @reaches
 def set_(dials: tuple[str, ...], key_file: str | None, as_json: bool, **given: int | None) -> None:
     """Change settings in service, at each --control. They outlive a restart where there is a state folder."""
--- a/gorsefork/fleet/membership.py
+++ b/gorsefork/fleet/membership.py
@@ -23,7 +23,7 @@
 )
 from gorsefork.fleet.facts import MOST_LIFE, Card, Fact, Note, State, shown_dial
 from gorsefork.fleet.messages import FAN_OUT, LONGEST, Codec, Kind, Message, Range, Refused
-from gorsefork.fleet.spread import Spread, times
+from gorsefork.fleet.spread import REPEATS, Spread, times
 from gorsefork.fleet.view import DIGITS, Member, Part, Suspicion, View
 
 SECOND = 1_000_000
@@ -54,6 +54,7 @@
     keep: int = 3600 * SECOND
     mend: int = 32
     note_room: int = 64  # bytes of a datagram for other subsystems' facts
+    repeats: int = REPEATS  # times log2 of the fleet that each piece of news is sent by each that knows it
 
 
 class Send(NamedTuple):
@@ -760,7 +761,7 @@
         bare = self.message(kind, serial, target, target_life, dial, facts, notes, range_)
         left = LONGEST - 17 - self.codec.size(bare)
         if kind != "push":
-            most = times(len(self.view))
+            most = times(len(self.view), self.pace.repeats)
             for_notes = min(left, self.pace.note_room) if len(self.notes) else 0
             first = (about, target)
             added = self.news.pick(left - for_notes, self.codec.size, most, first) if len(self.news) else []
--- a/gorsefork/fleet/spread.py
+++ b/gorsefork/fleet/spread.py
@@ -16,10 +16,10 @@
 T = TypeVar("T", Fact, Note)
 
 
-def times(members: int) -> int:
+def times(members: int, repeats: int = REPEATS) -> int:
     """How often one ingress sends one piece on: enough for all to hear of it by
     ``benchmarks/fleet_view.py``."""
-    return REPEATS * max(1, ceil(log2(members + 1)))
+    return repeats * max(1, ceil(log2(members + 1)))
 
 
 @dataclass(slots=True)
--- a/gorsefork/wire/services/fleet_link.py
+++ b/gorsefork/wire/services/fleet_link.py
@@ -37,6 +37,7 @@
     keep_s: Annotated[int, Meta(ge=10, le=7 * 86_400)] | None = None
     mend: Annotated[int, Meta(ge=4, le=1000)] | None = None
     note_room: Annotated[int, Meta(ge=0, le=128)] | None = None
+    repeats: Annotated[int, Meta(ge=1, le=10)] | None = None
 
 
 def paced(pace: Pace, given: Settings) -> Pace:
@@ -45,8 +46,8 @@
     changes = {name: 1000 * value for name, value in named.items() if value is not None}
     if given.keep_s is not None:
         changes["keep"] = given.keep_s * SECOND
-    changes |= {name: value for name, value in (("mend", given.mend), ("note_room", given.note_room))
-                if value is not None}
+    plain = {"mend": given.mend, "note_room": given.note_room, "repeats": given.repeats}
+    changes |= {name: value for name, value in plain.items() if value is not None}
     new = replace(pace, **changes)
     if new.timeout > new.period // 2:
         raise ValueError("timeout_ms: must be half of period_ms at the most")
@@ -258,7 +259,8 @@
                 "doubt": core.doubt, "followed": core.followed,
                 "pace": {"period_ms": core.pace.period // 1000, "timeout_ms": core.pace.timeout // 1000,
                          "quiet_ms": core.pace.quiet // 1000, "keep_s": core.pace.keep // SECOND,
-                         "mend": core.pace.mend, "note_room": core.pace.note_room},
+                         "mend": core.pace.mend, "note_room": core.pace.note_room,
+                         "repeats": core.pace.repeats},
                 "sent": core.counts.sent, "received": core.counts.received,
                 "bytes_sent": core.counts.bytes_sent, "probes": core.counts.probes,
                 "missed": core.counts.missed, "stalls": core.counts.stalls, "unsent": self.unsent,
