--- a/gorsefork/fleet/membership.py
+++ b/gorsefork/fleet/membership.py
@@ -461,6 +461,8 @@
             return
         if self.followed or (message.name == self.name and message.life == self.life):
             return  # its own, come back
+        if self.too_late(message.life):
+            return
         # What an exchange of digests brings is known to others already: to spread it too would tell a
         # newcomer's whole table once more to all.
         self.mending = message.kind == "push"
@@ -540,7 +542,7 @@
         if self.leaving:
             self.goodbyes.add(message.name)
             return
-        self.stalled = False
+        self.stalled, self.heard_any = False, True
         probe = self.probes.get(message.serial)
         if probe is not None and (probe.name, probe.life) == (whose, life):
             self.doubt = max(0, self.doubt - 1)
@@ -568,9 +570,15 @@
 
     # Facts.
 
+    def too_late(self, life: int) -> bool:
+        """Guards against a life that nobody could follow: it would hold its name for ever."""
+        if life <= self.now + self.unix + AHEAD:
+            return False
+        self.counts.refused["life"] = self.counts.refused.get("life", 0) + 1
+        return True
+
     def hear(self, fact: Fact, by: str) -> None:
-        if fact.life > self.now + self.unix + AHEAD:
-            self.counts.refused["life"] = self.counts.refused.get("life", 0) + 1
+        if self.too_late(fact.life):
             return
         if fact.name == self.name:
             self.hear_of_self(fact, by)
@@ -657,7 +665,6 @@
 
     def begin_life(self, fact: Fact) -> None:
         self.fact = fact
-        self.view.members.pop(self.name, None) if self.view.members.get(self.name) is None else None
         self.take(fact, "here")
         for (kind, key), note in list(self.own_notes.items()):
             renewed = Note(self.name, fact.life, kind, key, note.version + 1, note.value)
@@ -666,7 +673,6 @@
                 self.tell_note(renewed)
 
     def become_alive(self, by: str) -> None:
-        self.heard_any = self.heard_any or by != "here"
         self.take(Fact(self.name, self.life, self.fact.incarnation, State.ALIVE, self.fact.card), by)
 
     def news_again(self, fact: Fact) -> None:
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -387,6 +387,18 @@
     assert holder is not None and holder.life > old.life
 
 
+def test_one_that_served_alone_and_then_met_others_is_followed_all_the_same() -> None:
+    world = World(4, 6)
+    world.start("n1", seeds=[])
+    world.run(10.0)  # alive by itself
+    old = world.places["n1"].core
+    assert old is not None and old.fact.state == State.ALIVE
+    world.start("n0", "n2", seeds=[world.places["n1"].dial])
+    world.run_until(world.one_view, 30.0)
+    world.start("n3", called="n1")
+    world.run_until(lambda: old.followed and world.one_view(["n0", "n1", "n2"]), settle(world))
+
+
 @pytest.mark.parametrize("error", [-3600, 3600])
 def test_a_clock_that_steps_between_two_lives(error: int) -> None:
     world = grown(5)
@@ -458,7 +470,9 @@
         lied(world, Fact(f"x{n}", UNIX + n, 0, State.ALIVE if n % 2 else State.LEFT, card))
     assert len(core.view) <= MOST_MEMBERS and len(core.news) <= MOST_WAITING and core.view.dropped > 0
     lied(world, Fact("late", UNIX + 10**14, 0, State.ALIVE, card))
-    assert core.counts.refused["life"] == 1
+    ahead = some(world.codec, name="n0", life=UNIX + 10**14)  # as this one, from a day that will not come
+    world.arrive(world.places["n0"], packed("10.8.8.8:1"), world.codec.pack(ahead))
+    assert core.counts.refused["life"] == 2 and not core.followed
     sent = world.sent
     world.run(10.0)
     assert world.sent - sent <= 10 * 2 * (10 + 10 * 10)  # rounds of news, and probes: not by their number
