Make three tests of the fleet's view fail without their guards

Now taking out the mark that others were heard, the time given again after a stall, or the second probe each fails one.

--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -193,6 +193,9 @@
     world.run_until(lambda: all(world.shown(n, "n1") == "unreachable" for n in all_but(world, "n1")),
                     bounds.detection(tempo))
     assert min(at for at, _ in world.happened("unreachable")) - died > bounds.suspicion_least(members, 1.0)
+    for core in world.cores():  # none accuses by itself before a second probe has failed too
+        told = [event.by for _, event in world.happened("suspect", "n1", at=core.name)]
+        assert core.counts.missed >= 2 * told.count("here")
     world.run_until(lambda: world.one_view(all_but(world, "n1")), bounds.settling(tempo, 3.0))
 
 
@@ -250,6 +253,22 @@
     assert not wrongly(world)
 
 
+def test_one_that_did_not_run_gives_a_suspect_its_time_again() -> None:
+    world = grown(5, 3)
+    world.kill("n1")
+    world.run_until(lambda: bool(world.happened("suspect", "n1", at="n0")), 30.0)
+    core = world.places["n0"].core
+    assert core is not None
+    (before,) = [suspicion.deadline() for _, suspicion in core.suspects()]
+    world.stop("n0")
+    world.run(20.0)
+    core.wake(world.us(world.places["n0"]))
+    assert world.shown("n0", "n1") == "suspect"
+    (after,) = [suspicion.deadline() for _, suspicion in core.suspects()]
+    assert after - before > 18 * SECOND
+    world.resume("n0")
+
+
 def test_an_ingress_whose_timers_are_late_accuses_itself() -> None:
     world = grown(10, 3)
     place = world.places["n5"]
@@ -397,6 +416,7 @@
     world.run_until(world.one_view, 30.0)
     world.start("n3", called="n1")
     world.run_until(lambda: old.followed and world.one_view(["n0", "n1", "n2"]), settle(world))
+    assert old.bumps == 0  # it never took a number beyond its successor's
 
 
 @pytest.mark.parametrize("error", [-3600, 3600])
