Learn round trips from the first try on, so that slow ways do not cost ten datagrams a second

At fault: acked() took a trip only from a probe that was sent once, and where a trip is longer than a tenth of a period none ever was. Now it is taken from the first try on, too long rather than too short; the new test fails without it.

--- a/gorsefork/fleet/membership.py
+++ b/gorsefork/fleet/membership.py
@@ -547,7 +547,7 @@
         if probe is not None and (probe.name, probe.life) == (whose, life):
             self.doubt = max(0, self.doubt - 1)
             del self.probes[probe.serial]
-            if probe.tries == 1 and not message.target:  # of others it is not known which try was answered
+            if not message.target:  # from the first try on: too long where one was lost, never too short
                 trip = float(self.now - probe.began)
                 self.trip_varies += (abs(trip - self.trip) - self.trip_varies) / 4.0
                 self.trip += (trip - self.trip) / 8.0 if self.trip else trip
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -153,6 +153,14 @@
     assert sum(core.counts.refused.values()) == 1 and len(core.view) == 1
 
 
+def test_where_answers_take_long_a_probe_is_not_sent_again_before_they_can_come() -> None:
+    world = grown(8, 3, delay=(0.2, 0.25))
+    world.run(60.0)
+    sent = world.sent
+    world.run(20.0)
+    assert world.sent - sent < 3.0 * 20 * 8  # 2 a member and second; 10 if not learned
+
+
 def test_any_bit_turned_is_seen() -> None:
     codec = Codec("site", KEY)
     data = codec.pack(some(codec))
