Count cold servers by their warmth in the least that is kept open

Ruled out: suspects and the list (each change was taken at once). At fault: Capacity.tick keeps a least open by the number of ready servers, cold ones as if warm: 5.5 calls an ingress at 120 servers, whatever they can bear. Change: the sum of their warmth in place of their number. tests/test_full_fleet.py fails without it (5.5 for 2.5).

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -206,12 +206,11 @@
 
 
 class Lane:
-    """The PI law of one worth lane and its discard queue."""
+    """The PI law of one worth lane and its discard queue: those inside their quota, then beyond."""
 
     def __init__(self) -> None:
         self.open = self.sent = self.arrived = 0
-        self.error, self.room, self.chance = 0.0, math.inf, 1.0
-        self.held = Backlog(2)  # the discard queue: inside quota, then beyond
+        self.error, self.room, self.chance, self.held = 0.0, math.inf, 1.0, Backlog(2)
 
     def allow(self, target: float, period: float, dither: float) -> None:
         """target_in. A lull never throttles; with none open a part of a request is rounded by chance."""
@@ -239,12 +238,12 @@
         self.aim += SMOOTH * (aim - self.aim)
         self.strain += 2.0 * SMOOTH * (min(STRAIN_MAX, latency / (AIM_SHARE * aim)) - self.strain)
 
-    def tick(self, load: int, ready: int, period: float) -> None:
+    def tick(self, load: int, ready: float, period: float) -> None:
         """A lull teaches nothing: the rate falls only under pressure. A few open need only be prompt."""
         self.rate += SMOOTH * (self.answers / period - self.rate)
         self.answers = 0
         self.peak = max(self.rate, self.peak + SMOOTH * (load > self.target * 0.8) * (self.rate - self.peak))
-        least = LEAST_OPEN * max(1, ready) / self.settings.gatekeepers
+        least = LEAST_OPEN * max(1.0, ready) / self.settings.gatekeepers
         least += CHANCE_OPEN * math.sqrt(least)  # the smaller a part, the more of it comes by chance
         self.target = max(self.peak * AIM_SHARE * self.aim, least, PROMPT_OPEN / max(1.0, self.strain) ** 3)
 
@@ -880,7 +879,8 @@
         """A control period ends: learn, allow, release what is held, set the chances of the next arrivals."""
         fleet, premium, basic = self.fleet, self.premium, self.basic
         fleet.assess(self.now)
-        self.capacity.tick(premium.open + basic.open, len(fleet.ready), self.period)
+        ready = sum(fleet.warmth(server, self.now) for server in fleet.ready)  # a cold one bears less
+        self.capacity.tick(premium.open + basic.open, ready, self.period)
         target = self.capacity.target
         premium.allow(target, self.period, self.rng.random())
         basic.allow(max(target - premium.open, target / (LOOK_AHEAD + 1)), self.period, self.rng.random())
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -61,6 +61,21 @@
         assert max(even) < 0.13  # 0.25 where each begins its first token by chance
 
 
+def test_the_least_kept_open_counts_cold_servers_by_what_they_bear() -> None:
+    given = settings(gatekeepers=FLEET, classes=[SAFE], guards=i.Guards(cold_share=0.31, ramp=17.0))
+    least = []
+    for started in (0.0, 100.0):  # long ago; just now
+        d = Driver(given, servers=0)
+        d.feed(i.ServerList("full", entries(range(120), started=started)))
+        d.gate.capacity.strain = 5.0  # so that promptness allows none
+        d.ask()
+        d.run(0.5)
+        least.append(d.gate.capacity.target)
+    warm, cold = 4.0 * 120 / FLEET, 4.0 * 120 * 0.31 / FLEET
+    assert least[0] == pytest.approx(warm + 2.0 * warm**0.5, rel=0.05)
+    assert least[1] == pytest.approx(cold + 2.0 * cold**0.5, rel=0.05)  # as for warm ones it was 5.5
+
+
 def test_tokens_that_nobody_used_are_not_saved_for_one_burst_of_all() -> None:
     guards = i.Guards(cold_share=0.31, ramp=17.0, fall_multiple=2.5, fall_window=1.5)
     given, moments = settings(gatekeepers=FLEET, classes=[SAFE], guards=guards), (2.0, 5.0, 5.5, 8.0, 8.1)
