--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -19,6 +19,7 @@
 import sys
 import time
 from collections import defaultdict
+from math import ceil
 from multiprocessing import Pool
 from pathlib import Path
 from typing import Any
@@ -115,7 +116,7 @@
     found, seed = [], 0
     whole = sum(SHARES.values())
     for members in reversed(MEMBERS):
-        for n in range(max(1, round(runs * SHARES[members] / whole))):
+        for n in range(ceil(runs * SHARES[members] / whole)):
             seed += 1
             found.append((seed, members, LOSSES[n % len(LOSSES)], DELAYS[n // len(LOSSES) % len(DELAYS)]))
     return found
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -164,9 +164,11 @@
             fleet = [first, *await rig.started("n1", "n2", state=True)]
             await rig.settled(*fleet)
             kept = [tmp_path / f"n{n}" / "state" / "fleet.json" for n in range(3)]
+            await rig.ask(fleet[0], "PUT", "/v1/fleet/settings", {"quiet_ms": 450, "repeats": 4})
 
             async def written() -> bool:
-                return all(p.exists() and len(json.loads(p.read_bytes())["dials"]) == 2 for p in kept)
+                files = [json.loads(path.read_bytes()) if path.exists() else {"dials": []} for path in kept]
+                return all(len(file["dials"]) == 2 for file in files) and files[0]["pace"] != {}
 
             await rig.until(written)
             for running in fleet:
@@ -175,5 +177,7 @@
             again = await rig.started("n0", "n1", "n2", seeds=(), state=True)
             await rig.settled(*again)
             assert told(again[2], "fleet.unread") and not told(again[0], "fleet.unread")
+            paces = [(await rig.ask(running, "GET", "/v1/fleet"))["pace"] for running in again]
+            assert [(pace["quiet_ms"], pace["repeats"]) for pace in paces] == [(450, 4), (500, 3), (500, 3)]
 
     trio.run(main)
