--- a/gorsefork/fleet/membership.py
+++ b/gorsefork/fleet/membership.py
@@ -30,6 +30,7 @@
 DOUBT_MOST = 8  # by how much more a slow prober may stretch its periods
 RELAYS = 3  # asked where a direct probe fails
 MOST_PROBES = 2 * (DOUBT_MOST + 2)  # at a time; beyond that none begins until one has ended
+TRIES = 64  # of one probe, each with a number of its own, so that the trip of an answer is known
 MOST_RELAYED = 256  # probes made for others that wait; beyond that one is not made
 FEW = 4  # members of a range that are told at once
 BUMPS = 3  # times that a newcomer takes a life beyond one that it hears of under its name
@@ -79,10 +80,9 @@
     serial: int
     relay_at: int
     ends_at: int
-    began: int
     again_at: int
     second: bool = False  # the one before it at the same member got no answer
-    tries: int = 1
+    sent: list[int] = field(default_factory=list)  # when each try went out
     asked: int = 0  # relays; -1: there are none
     nacks: int = 0
 
@@ -128,7 +128,7 @@
         self.seeds = [dial for dial in dict.fromkeys(seeds) if dial != card.dial]
         self.fact = Fact(name, life, 0, State.JOINING, card)
         self.began = self.now = now
-        self.serial = rng.randrange(1 << 31)
+        self.serial = rng.randrange(1 << 25) * TRIES
         self.probes: dict[int, Probe] = {}  # by serial; more than one only while answers are missing
         self.trip, self.trip_varies = 0.0, 0.0  # of a probe and its answer, in microseconds
         self.errands: OrderedDict[int, Errand] = OrderedDict()
@@ -309,7 +309,7 @@
             if not probe.asked and self.now >= probe.relay_at:
                 self.ask_relays(probe)
             if self.now >= probe.again_at:
-                probe.tries, probe.again_at = probe.tries + 1, self.now + self.patience()
+                probe.again_at = self.now + self.patience()
                 self.ping(probe)
 
     def patience(self) -> int:
@@ -325,9 +325,10 @@
 
     def ping(self, probe: Probe) -> None:
         member = self.view.members.get(probe.name)
-        if member is not None and member.fact.life == probe.life:
-            self.send("ping", member.fact.card.dial, serial=probe.serial, target=probe.name,
-                      target_life=probe.life, about=probe.name)
+        if member is not None and member.fact.life == probe.life and len(probe.sent) < TRIES:
+            probe.sent.append(self.now)
+            self.send("ping", member.fact.card.dial, serial=probe.serial + len(probe.sent) - 1,
+                      target=probe.name, target_life=probe.life, about=probe.name)
 
     def ask_relays(self, probe: Probe) -> None:
         member = self.view.members.get(probe.name)
@@ -364,7 +365,7 @@
         relay_at = max(self.pace.timeout, 2 * self.patience()) * (1 + self.doubt)
         ends_at = self.now + self.stretch() - self.pace.period // 20
         probe = Probe(name, self.view.members[name].fact.life, self.next_serial(), self.now + relay_at,
-                      ends_at, self.now, self.now + self.patience(), second)
+                      ends_at, self.now + self.patience(), second)
         self.probes[probe.serial] = probe
         self.ping(probe)
 
@@ -543,12 +544,13 @@
             self.goodbyes.add(message.name)
             return
         self.stalled, self.heard_any = False, True
-        probe = self.probes.get(message.serial)
+        trial = message.serial % TRIES
+        probe = self.probes.get(message.serial - trial)
         if probe is not None and (probe.name, probe.life) == (whose, life):
             self.doubt = max(0, self.doubt - 1)
             del self.probes[probe.serial]
-            if not message.target:  # from the first try on: too long where one was lost, never too short
-                trip = float(self.now - probe.began)
+            if not message.target and trial < len(probe.sent):
+                trip = float(self.now - probe.sent[trial])
                 self.trip_varies += (abs(trip - self.trip) - self.trip_varies) / 4.0
                 self.trip += (trip - self.trip) / 8.0 if self.trip else trip
         errand = self.errands.get(message.serial)
@@ -785,7 +787,7 @@
         self.out.append(Send(to, data))
 
     def next_serial(self) -> int:
-        self.serial = (self.serial + 1) % (1 << 32)
+        self.serial = (self.serial + TRIES) % (1 << 32)
         return self.serial
 
     def tell(self, kind: str, name: str, life: int, by: str, text: str) -> None:
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -161,6 +161,13 @@
     assert world.sent - sent < 3.0 * 20 * 8  # 2 a member and second; 10 if not learned
 
 
+def test_lost_answers_are_not_taken_for_slow_ones() -> None:
+    world = grown(8, 3)
+    world.loss = 0.4
+    world.run(90.0)
+    assert max(core.patience() for core in world.cores()) < 0.15 * SECOND  # trips take 10 ms at the most
+
+
 def test_any_bit_turned_is_seen() -> None:
     codec = Codec("site", KEY)
     data = codec.pack(some(codec))
