Mend what a second reading found: derived state, dead code, two bounds

The member's own fact stood twice (now read from the view); View.me, Spread.drop, facts.join and bounds.refuted were used by nothing in service. An upload that had come whole left the shared cap while its last bytes were still held; scopes of fellows that had gone were kept for ever, and one unwanted before its task began was followed all the same. On the platform a peer's message is no longer unpacked twice where no change of version is under way. Tests of the view, long bodies and words pass.

--- a/gorsefork/fleet/bounds.py
+++ b/gorsefork/fleet/bounds.py
@@ -67,10 +67,3 @@
     where news ran out before it reached all, and quiet for its time."""
     mending = 2.0 * first_probe(tempo)
     return detection(tempo) + spread(tempo) + mending + quiet + 4.0 * tempo.period
-
-
-def refuted(tempo: Tempo) -> float:
-    """The time that a living suspect has at least, less what its contradiction takes in the mean: positive
-    where a wrong verdict needs worse luck than that."""
-    rounds = 2.0 * log2(max(2, tempo.members)) * (GOSSIP_SHARE * tempo.period + tempo.delay)
-    return suspicion_least(tempo.members, tempo.period) - rounds / max(1e-9, 1.0 - tempo.loss)
--- a/gorsefork/fleet/facts.py
+++ b/gorsefork/fleet/facts.py
@@ -99,13 +99,6 @@
         return blake2s(text.encode(), digest_size=8).digest()
 
 
-def join(one: Fact, other: Fact) -> Fact:
-    """The greater of two facts about one name."""
-    if one.name != other.name:
-        raise ValueError("facts about two names do not merge")
-    return other if other.beats(one) else one
-
-
 def packed(dial: str) -> bytes:
     """``ADDRESS:PORT``, IPv6 in brackets, in 6 or 18 bytes. ``ValueError`` for anything else."""
     host, _, port = dial.rpartition(":")
--- a/gorsefork/fleet/membership.py
+++ b/gorsefork/fleet/membership.py
@@ -35,7 +35,7 @@
 FEW = 4  # members of a range that are told at once
 BUMPS = 3  # times that a newcomer takes a life beyond one that it hears of under its name
 AHEAD = 86_400 * SECOND  # that a life may seem to begin from now: clocks differ
-MEND_AGAIN = 2  # periods between two exchanges of digests begun here
+MEND_AGAIN = 2  # exchanges of digests that may begin here in a period
 KNOCK_FIRST, KNOCK_MOST = 4, 64  # periods between two knocks at one that is unreachable, at first and at last
 OVER_KEPT = 8  # times as long as one that is unreachable, a life that is over is known as such
 GOODBYES = 8  # members told at the end
@@ -118,7 +118,7 @@
                  now: int, seeds: Iterable[bytes] = (), unix: int = 0) -> None:
         self.name, self.codec, self.pace, self.rng = name, codec, pace, rng
         self.unix = unix or life - now  # what makes the caller's clock Unix time
-        self.view = View(name)
+        self.view = View()
         self.out: list[Send] = []
         self.events: list[Event] = []
         self.counts = Counts()
@@ -126,7 +126,6 @@
         self.notes: Spread[Note] = Spread()
         self.own_notes: dict[tuple[str, str], Note] = {}
         self.seeds = [dial for dial in dict.fromkeys(seeds) if dial != card.dial]
-        self.fact = Fact(name, life, 0, State.JOINING, card)
         self.began = self.now = now
         self.serial = rng.randrange(1 << 25) * TRIES
         self.probes: dict[int, Probe] = {}  # by serial; more than one only while answers are missing
@@ -145,10 +144,15 @@
         self.goodbyes: set[str] = set()
         self.refused_at: OrderedDict[tuple[str, str], int] = OrderedDict()
         self.was_settled, self.was_part, self.part_since, self.look_at = False, "alone", now, now
-        self.begin_life(self.fact)
+        self.begin_life(Fact(name, life, 0, State.JOINING, card))
 
     # What others use.
 
+    @property
+    def fact(self) -> Fact:
+        """What this life says of itself."""
+        return self.view.members[self.name].fact
+
     @property
     def life(self) -> int:
         return self.fact.life
@@ -601,8 +605,6 @@
         member = self.view.take(fact, self.now, by)
         if member is None:
             return None
-        if fact.name == self.name:
-            self.fact = fact
         if fact.state == State.SUSPECT:
             self.suspect(member, fact.accuser or by)
         if fact.terminal:
@@ -666,7 +668,6 @@
             self.take(answer, by)
 
     def begin_life(self, fact: Fact) -> None:
-        self.fact = fact
         self.take(fact, "here")
         for (kind, key), note in list(self.own_notes.items()):
             renewed = Note(self.name, fact.life, kind, key, note.version + 1, note.value)
@@ -693,7 +694,7 @@
         """Compare all, where digests differ: news may have run out before it reached everybody."""
         if self.now < self.mend_at:
             return
-        self.mend_at = self.now + MEND_AGAIN * self.pace.period // 4
+        self.mend_at = self.now + self.pace.period // MEND_AGAIN
         self.spend("range", dial, self.whole())
 
     def spend(self, kind: Kind, dial: bytes, range_: Range, facts: tuple[Fact, ...] = (),
--- a/gorsefork/fleet/spread.py
+++ b/gorsefork/fleet/spread.py
@@ -42,9 +42,6 @@
             del self.pieces[max(self.pieces, key=lambda key: self.pieces[key].sent)]
         self.pieces[about] = Piece(what)
 
-    def drop(self, about: object) -> None:
-        self.pieces.pop(about, None)
-
     def pick(self, room: int, size: Callable[[T], int], most_sent: int,
              first: Iterable[object] = ()) -> list[T]:
         """As many pieces as fit into ``room`` bytes; those in ``first`` before all others."""
--- a/gorsefork/fleet/view.py
+++ b/gorsefork/fleet/view.py
@@ -76,8 +76,7 @@
     """All that one ingress knows. ``number`` grows with each change here; ``digest`` is equal where two know
     the same of all whose lives go on."""
 
-    def __init__(self, me: str) -> None:
-        self.me = me
+    def __init__(self) -> None:
         self.members: dict[str, Member] = {}
         self.number = 0
         self.changed_at = 0
--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -50,8 +50,10 @@
     def pass_on(self, message: PeerMessage) -> None:
         """A keeper's word comes to the socket that was bound last: on a try of the one before it belongs
         there. Whose it is tells its number, which the other does not know."""
+        if self.before is None:
+            return
         note = Note.read(message.data, len(self.ingress.config.settings.plans))
-        if self.before is not None and note is not None and note.kind in (YES, NO):
+        if note is not None and note.kind in (YES, NO):
             self.before.say({"word": [message.sender, message.data.hex()]})
 
     def hear_word(self, word: Any) -> None:
--- a/gorsefork/memory/flow.py
+++ b/gorsefork/memory/flow.py
@@ -23,7 +23,7 @@
     first piece is taken nobody else can have the body: ``taken`` says so.
     """
 
-    open: ClassVar[WeakSet[Flow]] = WeakSet()  # those of which some is still to come or held
+    open: ClassVar[WeakSet[Flow]] = WeakSet()  # those of which some may still be held
 
     def __init__(self, length: int | None, first: bytes) -> None:
         self.open.add(self)
@@ -50,7 +50,6 @@
 
     def end(self) -> None:
         self.ended = True
-        self.open.discard(self)
         self.came.set()
 
     def tear(self) -> None:
@@ -76,5 +75,7 @@
             self.came = trio.Event()
             await self.came.wait()
         pieces, self.pieces, self.held = self.pieces, [], 0
+        if self.ended:
+            self.open.discard(self)
         self.room.set()
         return pieces
--- a/gorsefork/wire/services/fellows.py
+++ b/gorsefork/wire/services/fellows.py
@@ -59,12 +59,17 @@
                     self.nursery.start_soon(self.follow, follower)
 
     async def follow(self, follower: Follower) -> None:
+        if follower not in self.followers:
+            return  # no longer wanted by the time it could begin
         client = HttpClient(follower.dial, self.authorization, MOST_BODY)
-        with trio.CancelScope() as self.scopes[follower.dial]:
+        with trio.CancelScope() as scope:
+            self.scopes[follower.dial] = scope
             try:
                 await self.keep_asking(client, follower)
             finally:
                 client.close()
+                if self.scopes.get(follower.dial) is scope:
+                    del self.scopes[follower.dial]
 
     async def keep_asking(self, client: HttpClient, follower: Follower) -> None:
         while True:
