--- a/gorsefork/decisions/handing.py
+++ b/gorsefork/decisions/handing.py
@@ -13,10 +13,30 @@
 
 from gorsefork.decisions.rules import Account, Gatekeeper
 
-SERVER = ("pace", "errors", "sampled_at", "answered_at", "cold_from", "filled_at", "credit", "silent",
-          "barred_until")
-ACCOUNT = ("at", "level", "part", "own", "others", "epoch", "read_at", "lent_at", "short", "carried",
-           "carried_at")
+SERVER = (
+    "pace",
+    "errors",
+    "sampled_at",
+    "answered_at",
+    "cold_from",
+    "filled_at",
+    "credit",
+    "silent",
+    "barred_until",
+)
+ACCOUNT = (
+    "at",
+    "level",
+    "part",
+    "own",
+    "others",
+    "epoch",
+    "read_at",
+    "lent_at",
+    "short",
+    "carried",
+    "carried_at",
+)
 FLEET = ("barred", "carry", "pace", "errors", "work")
 CAPACITY = ("aim", "rate", "peak", "target", "strain")
 QUOTA = ("started", "misses", "rate", "safe", "cut_at")
@@ -47,10 +67,15 @@
     gate.quota.handed = True
     return {
         "servers": {name: picked(s, SERVER) for name, s in gate.fleet.servers.items()},
-        "fleet": picked(gate.fleet, FLEET), "capacity": picked(gate.capacity, CAPACITY),
+        "fleet": picked(gate.fleet, FLEET),
+        "capacity": picked(gate.capacity, CAPACITY),
         "service": [list(gate.fleet.service[n]) for n in range(len(gate.settings.classes))],
-        "quota": picked(gate.quota, QUOTA), "own": picked(gate, OWN), "serial": gate.quota.serial,
-        "share": gate.quota.share, "accounts": accounts}
+        "quota": picked(gate.quota, QUOTA),
+        "own": picked(gate, OWN),
+        "serial": gate.quota.serial,
+        "share": gate.quota.share,
+        "accounts": accounts,
+    }
 
 
 def part_with(account: Account, plan: int) -> dict[str, Any]:
@@ -58,10 +83,19 @@
     kept = min(account.ceiling, waiting + KEPT * account.ceiling)
     mine = max(0.0, min(account.mine, waiting + KEPT * account.mine))
     called = account.call[1] if account.calling and account.call[0] == account.epoch else 0.0
-    given = {"tag": account.tag, "plan": plan, "spread": account.spread, "place": account.place,
-             "values": picked(account, ACCOUNT), "ceiling": account.ceiling - kept,
-             "mine": account.mine - mine, "pending": account.pending, "seen": account.seen + called,
-             "leases": list(account.leases), "keeper": account.keeper}
+    given = {
+        "tag": account.tag,
+        "plan": plan,
+        "spread": account.spread,
+        "place": account.place,
+        "values": picked(account, ACCOUNT),
+        "ceiling": account.ceiling - kept,
+        "mine": account.mine - mine,
+        "pending": account.pending,
+        "seen": account.seen + called,
+        "leases": list(account.leases),
+        "keeper": account.keeper,
+    }
     account.ceiling, account.mine, account.pending, account.handed = kept, mine, 0.0, True
     return given
 
--- a/gorsefork/decisions/interface.py
+++ b/gorsefork/decisions/interface.py
@@ -72,6 +72,10 @@
     connect_timeout: float = 0.25
     keepalive: float = 15.0
 
+    def longest_retry_after(self) -> float:
+        """The longest advice on when to come again, in seconds; 0 where the site permits none."""
+        return self.max_retry_after if self.retry_after else 0.0
+
 
 @dataclass(frozen=True, slots=True)
 class Guards:
@@ -119,11 +123,17 @@
 def check(settings: Settings) -> None:
     """Settings that make no sense are refused at once, by name."""
     limits, guards, accounting = settings.limits, settings.guards, settings.accounting
-    sound = {"classes": len(settings.classes) > 0, "gatekeepers": settings.gatekeepers >= 1,
-             "step": settings.step > 0, "limits.max_attempts": limits.max_attempts >= 1}
-    for part, names in ((limits, ("connect_timeout", "keepalive", "max_retry_after")),
-                        (guards, ("drain_grace", "cold_share", "ramp", "fall_multiple", "fall_window")),
-                        (accounting, ("counter_timeout", "most_units"))):
+    sound = {
+        "classes": len(settings.classes) > 0,
+        "gatekeepers": settings.gatekeepers >= 1,
+        "step": settings.step > 0,
+        "limits.max_attempts": limits.max_attempts >= 1,
+    }
+    for part, names in (
+        (limits, ("connect_timeout", "keepalive", "max_retry_after")),
+        (guards, ("drain_grace", "cold_share", "ramp", "fall_multiple", "fall_window")),
+        (accounting, ("counter_timeout", "most_units")),
+    ):
         for name in names:
             sound[name] = 0 <= getattr(part, name) < math.inf
     for cls in settings.classes:
@@ -361,6 +371,18 @@
     """This gatekeeper stops: what it still holds is to get its answer now."""
 
 
-Event = (Request | Started | Outcome | Gone | Timer | Probed | Counted | PeerMessage | ServerList | Terms
-         | Suspend | Closing)
+Event = (
+    Request
+    | Started
+    | Outcome
+    | Gone
+    | Timer
+    | Probed
+    | Counted
+    | PeerMessage
+    | ServerList
+    | Terms
+    | Suspend
+    | Closing
+)
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Count | Tell | Watch | FetchList | Log
--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -64,11 +64,6 @@
         server.credit = GOLDEN * server.place % 1.0  # all that look at it have a first token in turn
         server.silent, server.errors, server.pace = False, 0.0, self.pace
 
-    def alive(self, server: Server, now: float) -> None:
-        server.answered_at = now
-        if server.silent:
-            self.restart(server, now)
-
     def warmth(self, server: Server, now: float) -> float:
         guards, age = self.settings.guards, max(0.0, now - server.cold_from)
         grown = age / guards.ramp if age < guards.ramp else 1.0
@@ -171,7 +166,7 @@
         at first briefly; several keep to those that answered of late. Harm: a few carry more."""
         server.unmet = 0 if made else server.unmet + 1
         if not made:
-            pause = min(FORGET, TRICKLE / 2.0 * 2.0**min(server.unmet, 10))
+            pause = min(FORGET, TRICKLE / 2.0 * 2.0 ** min(server.unmet, 10))
             server.barred_until = now + pause * self.rng.uniform(0.5, 1.5)
         if not self.linked(server, sent_at):
             self.barred = self.barred / 2.0 if made else self.barred + 2.0 * SMOOTH * (1.0 - self.barred)
@@ -617,10 +612,18 @@
         self.cut_off, self.budget, self.list_misses, self.suspended = 0.0, RETRY_DEPTH, 0, False
         self.now, self.begun, self.ticking, self.plain = 0.0, False, False, i.Plan("none")
         self.takers: dict[type, Callable[[Any], None]] = {
-            i.Request: self.arrive, i.Outcome: self.outcome, i.Timer: self.timer, i.Counted: self.counted,
-            i.ServerList: self.listed, i.Started: self.began, i.Gone: self.left,
-            i.PeerMessage: self.heard, i.Terms: self.changed, i.Suspend: self.suspend,
-            i.Closing: self.closing}
+            i.Request: self.arrive,
+            i.Outcome: self.outcome,
+            i.Timer: self.timer,
+            i.Counted: self.counted,
+            i.ServerList: self.listed,
+            i.Started: self.began,
+            i.Gone: self.left,
+            i.PeerMessage: self.heard,
+            i.Terms: self.changed,
+            i.Suspend: self.suspend,
+            i.Closing: self.closing,
+        }
 
     def handle(self, now: float, events: Iterable[i.Event]) -> Sequence[i.Action]:
         self.now = now
@@ -655,8 +658,7 @@
         if not 0 <= request.cls < len(self.settings.classes) or request.id in self.tickets:
             return
         if self.suspended:
-            limits = self.settings.limits
-            self.out.append(i.Refuse(request.id, limits.max_retry_after if limits.retry_after else 0.0))
+            self.out.append(i.Refuse(request.id, self.settings.limits.longest_retry_after()))
             return
         known, cls = 0 <= request.plan < len(self.settings.plans), self.settings.classes[request.cls]
         plan = request.terms or (self.settings.plans[request.plan] if known else self.plain)
@@ -667,15 +669,16 @@
         worth = cls.worth * plan.price * request.units
         lane = self.premium if worth >= self.cut_off else self.basic
         self.cut_off += SMOOTH / 5 * (worth - self.cut_off)
-        ticket = Ticket(request, cls, plan, account, lane, self.now + request.left, self.now + wanted,
-                        self.now + hold, -cls.worth * plan.price)
-        self.tickets[request.id] = ticket
-        due = max(0.0, request.left - self.settings.step)
-        self.out.append(i.SetTimer(f"d:{request.id}", due, request.id))
-        self.out.append(i.SetTimer(f"h:{request.id}", hold, request.id))
+        ticket = Ticket.opened(request, cls, plan, account, lane, self.now, wanted, hold)
+        self.tickets[ticket.id] = ticket
+        self.set_timer("d", request.id, max(0.0, request.left - self.settings.step))
+        self.set_timer("h", request.id, hold)
         if not self.quota.ask(ticket):
             self.seek(ticket)
 
+    def set_timer(self, kind: str, name: str, delay: float) -> None:
+        self.out.append(i.SetTimer(f"{kind}:{name}", delay, name))
+
     def seek(self, ticket: Ticket) -> None:
         plan = ticket.plan
         inside = not ticket.account.waits.top() and self.quota.fits(ticket, False, self.now)
@@ -698,8 +701,7 @@
             (self.offer if inside else self.give_up)(ticket)
 
     def changed(self, event: i.Terms) -> None:
-        if account := self.quota.changed(event, self.now):
-            self.admit_waits(account)
+        self.admit_waits(self.quota.changed(event, self.now))
 
     def suspend(self, event: i.Suspend) -> None:
         self.suspended = event.on
@@ -707,8 +709,8 @@
     def idle(self) -> bool:
         return self.premium.open + self.basic.open < IDLE_SHARE * self.capacity.target
 
-    def admit_waits(self, account: Account) -> None:
-        for ticket in self.quota.release(account, self.now):
+    def admit_waits(self, account: Account | None) -> None:
+        for ticket in self.quota.release(account, self.now) if account else ():
             self.offer(ticket)
 
     def offer(self, ticket: Ticket) -> None:
@@ -741,7 +743,7 @@
         self.budget = min(RETRY_DEPTH, self.budget + RETRY_SHARE * (number == 0))
         self.out.append(i.Send(request.id, server.entry.server, by=by))
         if not ticket.cls.stream:
-            self.look_after(ticket, number)
+            self.set_timer(f"p:{number}", ticket.id, self.patience(ticket))
 
     def overdue(self, ticket: Ticket, number: int) -> None:
         """Off slow, silent or leaving servers: a copy, or a move; under pressure off suspects, or if lost."""
@@ -752,7 +754,7 @@
         bad = lost or self.fleet.suspect(attempt.server, self.now)
         pressed = min(self.premium.chance, self.basic.chance) < 1.0
         if not lost:
-            self.look_after(ticket, number)
+            self.set_timer(f"p:{number}", ticket.id, self.patience(ticket))
         barred = ticket.cls.effect == "once" or (not lost and not may_repeat(ticket.cls))
         if barred or self.budget < 1.0 or (pressed and not bad) or limits.max_attempts < number + 2:
             return
@@ -760,13 +762,9 @@
             if ticket.open_attempts() < 2 and self.dispatch(ticket):
                 self.budget -= 1.0
         elif bad and limits.cancel:
-            self.out.append(i.Cancel(ticket.request.id, number))
+            self.out.append(i.Cancel(ticket.id, number))
 
-    def look_after(self, ticket: Ticket, number: int) -> None:  # once most answers would have come
-        token = f"p:{number}:{ticket.request.id}"
-        self.out.append(i.SetTimer(token, self.patience(ticket), ticket.request.id))
-
-    def patience(self, ticket: Ticket) -> float:
+    def patience(self, ticket: Ticket) -> float:  # by then most answers would have come
         expected, deviation = self.fleet.service[ticket.request.cls]
         return expected + 4.0 * deviation
 
@@ -776,7 +774,7 @@
         seen = self.fleet.overtook if server.silent else server.overtook
         if attempt.counted and seen > attempt.sent_at + 2.0 * self.patience(ticket):
             attempt.counted, ticket.lane.open = False, ticket.lane.open - 1
-            server.open.pop((ticket.request.id, number), None)
+            server.open.pop((ticket.id, number), None)
         return not attempt.counted
 
     def outcome(self, event: i.Outcome) -> None:
@@ -808,7 +806,9 @@
         latency = event.latency or now - attempt.sent_at
         ratio = latency / self.fleet.service[cls][0]
         if event.status in ("ok", "error", "full", "reset"):
-            self.fleet.alive(server, now)
+            server.answered_at = now
+            if server.silent:
+                self.fleet.restart(server, now)
             server.overtook = max(server.overtook, attempt.sent_at)
             self.fleet.overtook = max(self.fleet.overtook, attempt.sent_at)
         if event.status in ("ok", "timeout", "cancelled"):
@@ -838,11 +838,10 @@
             self.give_up(ticket)
 
     def give_up(self, ticket: Ticket) -> None:
-        name, limits = ticket.request.id, self.settings.limits
-        longest = min(limits.max_retry_after, max(0.0, ticket.ends - self.now)) if limits.retry_after else 0.0
+        longest = min(self.settings.limits.longest_retry_after(), max(0.0, ticket.ends - self.now))
         room_in = ticket.back_in or ticket.account.span / 2.0  # half a span, in the mean
         wait = min(longest, max(PERIOD, room_in * (not ticket.inside)) * self.rng.uniform(0.75, 1.25))
-        self.end(ticket, i.Refuse(name, wait) if may_refuse(ticket) else i.Fail(name))
+        self.end(ticket, i.Refuse(ticket.id, wait) if may_refuse(ticket) else i.Fail(ticket.id))
 
     def end(self, ticket: Ticket, answer: i.Refuse | i.Fail | None) -> None:
         """The one end of every request: one answer at most, open attempts called off, quota settled."""
@@ -854,9 +853,9 @@
         self.quota.give_back(ticket)
         for number, attempt in enumerate(ticket.attempts):
             if attempt.open and self.settings.limits.cancel and not ticket.streaming:
-                self.out.append(i.Cancel(ticket.request.id, number))
+                self.out.append(i.Cancel(ticket.id, number))
         if not ticket.open_attempts():
-            self.tickets.pop(ticket.request.id, None)
+            self.tickets.pop(ticket.id, None)
         if ticket.account.plan.parallel:
             self.admit_waits(ticket.account)
 
@@ -871,8 +870,8 @@
         elif kind == "pump":
             self.quota.pumping = False
             self.quota.pump(self.now)
-        elif kind == "q" and (account := self.quota.timer(rest, self.now)):
-            self.admit_waits(account)
+        elif kind == "q":
+            self.admit_waits(self.quota.timer(rest, self.now))
         elif kind == "a" and (asked := self.quota.asked.pop(int(rest), None)) and asked.waits():
             if not self.quota.ask(asked):
                 asked.held, asked.serial = False, 0
--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -92,6 +92,26 @@
     asks: int = 0  # how often its keeper was asked
     back_in: float = 0.0  # s until there may be room, as the keeper said
 
+    @staticmethod
+    def opened(
+        request: i.Request,
+        cls: i.RequestClass,
+        plan: i.Plan,
+        account: Account,
+        lane: Lane,
+        now: float,
+        wanted: float,
+        hold: float,
+    ) -> Ticket:
+        """A ticket for a request that arrives at ``now``; ``wanted`` and ``hold`` are seconds from then."""
+        ends, rank = now + request.left, -cls.worth * plan.price
+        return Ticket(request, cls, plan, account, lane, ends, now + wanted, now + hold, rank)
+
+    @property
+    def id(self) -> str:
+        """The id of its request, by which the host knows it."""
+        return self.request.id
+
     def open_attempts(self) -> int:
         return sum(a.open for a in self.attempts)
 
