--- a/benchmarks/cold_sum.py
+++ b/benchmarks/cold_sum.py
@@ -26,8 +26,11 @@
 
 WINDOW, RAMP, COLD, MULTIPLE = 1.5, 17.0, 0.31, 2.5
 WARM_UP, LOOK = 4.0, 9.0  # s before the servers are replaced; after it
-CLASSES = (i.RequestClass("fetch", 2.0, 8.0, 1.0), i.RequestClass("save", 2.0, 8.0, 2.0),
-           i.RequestClass("buy", 1.5, 5.0, 5.0, effect="by_key", scope="cell", window=10.0))
+CLASSES = (
+    i.RequestClass("fetch", 2.0, 8.0, 1.0),
+    i.RequestClass("save", 2.0, 8.0, 2.0),
+    i.RequestClass("buy", 1.5, 5.0, 5.0, effect="by_key", scope="cell", window=10.0),
+)
 SHARES = (0.57, 0.26, 0.17)
 INGRESSES, SERVERS = (2, 5, 10, 20, 20, 30, 30, 40, 100, 200), (8, 8, 14, 14, 14, 30, 30, 60, 120, 200)
 
@@ -57,9 +60,17 @@
         self.ingresses, count = rng.choice(INGRESSES), rng.choice(SERVERS)
         self.work = rng.uniform(0.2, 0.35)
         limits = i.Limits(5, 20000, True, True, False, True, 2.0)
-        settings = [i.Settings(CLASSES, [i.Plan("open")], me, self.ingresses, limits=limits,
-                               guards=i.Guards(0.016, 0.25, COLD, RAMP, MULTIPLE, WINDOW))
-                    for me in range(self.ingresses)]
+        settings = [
+            i.Settings(
+                CLASSES,
+                [i.Plan("open")],
+                me,
+                self.ingresses,
+                limits=limits,
+                guards=i.Guards(0.016, 0.25, COLD, RAMP, MULTIPLE, WINDOW),
+            )
+            for me in range(self.ingresses)
+        ]
         self.gates = [Gatekeeper(given, rng.randrange(1 << 30)) for given in settings]
         self.machines: dict[str, Machine] = {}
         self.heap: list[tuple[float, int, str, Any]] = []
@@ -79,8 +90,13 @@
 
     def add(self, name: str, started: float) -> None:
         bad = self.rng.choice((0.0,) * 7 + (0.4,))
-        self.machines[name] = Machine(4.0 * self.rng.uniform(0.85, 1.1), started, bad,
-                                      self.rng.randint(8, 24), self.rng.randint(33, 112))
+        self.machines[name] = Machine(
+            4.0 * self.rng.uniform(0.85, 1.1),
+            started,
+            bad,
+            self.rng.randint(8, 24),
+            self.rng.randint(33, 112),
+        )
 
     def at(self, when: float, kind: str, what: Any) -> None:
         heapq.heappush(self.heap, (when, next(self.order), kind, what))
@@ -105,8 +121,15 @@
         tenths = [(m, t / 10.0) for m in new for t in range(int(10 * m.started), int(10 * end))]
         could = sum(m.capacity(at) / 10.0 for m, at in tenths)
         sent = sum(self.work for m in new for _ in m.sent)
-        return (max(n[0] for n in number), max(t[0] for t in true), max(n[1] for n in number),
-                max(t[1] for t in true), used, self.served / max(1, self.asked), sent / could)
+        return (
+            max(n[0] for n in number),
+            max(t[0] for t in true),
+            max(n[1] for n in number),
+            max(t[1] for t in true),
+            used,
+            self.served / max(1, self.asked),
+            sent / could,
+        )
 
     def worst(self, machine: Machine, by_number: bool) -> tuple[float, float]:
         most, beyond, first, total = 0.0, 0.0, 0, 0.0
@@ -224,17 +247,25 @@
     with Pool(given.processes) as pool:
         rows = pool.map(one, range(given.first, given.first + given.worlds), chunksize=1)
     for seed, size, found in sorted(rows, key=lambda row: -row[2][2])[:5]:
-        print(f"world {seed}: {size}: worst {found[0]:.2f}, by true work {found[1]:.2f}, over the rule "
-              f"{found[2]:.2f} and {found[3]:.2f}, {found[4]:.0%} of the new used, {found[5]:.0%} served")
-    kinds = (("by number", MULTIPLE), ("by true work", MULTIPLE), ("over the rule, by number", 1.0),
-             ("over the rule, by true work", 1.0))
+        print(
+            f"world {seed}: {size}: worst {found[0]:.2f}, by true work {found[1]:.2f}, over the rule "
+            f"{found[2]:.2f} and {found[3]:.2f}, {found[4]:.0%} of the new used, {found[5]:.0%} served"
+        )
+    kinds = (
+        ("by number", MULTIPLE),
+        ("by true work", MULTIPLE),
+        ("over the rule, by number", 1.0),
+        ("over the rule, by true work", 1.0),
+    )
     for place, (name, bound) in enumerate(kinds):
         ratios = sorted(found[place] for _, _, found in rows)
         share = sum(ratio > bound for ratio in ratios) / len(ratios)
         marks = ", ".join(f"{q}% {ratios[len(ratios) * q // 100]:.2f}" for q in (10, 50, 90))
         print(f"{len(rows)} worlds, {name}: {marks}, most {ratios[-1]:.2f}; beyond {bound}: {share:.1%}")
-    print(f"served {sum(found[5] for *_, found in rows) / len(rows):.1%}; the new were sent "
-          f"{sum(found[6] for *_, found in rows) / len(rows):.1%} of what they could do")
+    print(
+        f"served {sum(found[5] for *_, found in rows) / len(rows):.1%}; the new were sent "
+        f"{sum(found[6] for *_, found in rows) / len(rows):.1%} of what they could do"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet_trace.py
+++ b/benchmarks/fleet_trace.py
@@ -70,8 +70,15 @@
         give_up = decider.gate.give_up
 
         def given_up(ticket: Ticket) -> None:
-            why = ("tried" if ticket.attempts else "lane" if ticket.reserved else
-                   "keeper" if ticket.back_in else "quota")
+            why = (
+                "tried"
+                if ticket.attempts
+                else "lane"
+                if ticket.reserved
+                else "keeper"
+                if ticket.back_in
+                else "quota"
+            )
             self.counts[f"up.{why}.{ticket.plan.name[:5]}"] += 1
             give_up(ticket)
 
@@ -128,23 +135,41 @@
         gate, fleet = ingress.decider.gate, ingress.decider.gate.fleet
         now = ingress.clock.unix(ingress.clock.now)
         target = gate.capacity.target
-        self.bad = {s.entry.server: self.bad.get(s.entry.server, now) for s in fleet.ready
-                    if fleet.suspect(s, now)}
+        self.bad = {
+            s.entry.server: self.bad.get(s.entry.server, now) for s in fleet.ready if fleet.suspect(s, now)
+        }
         states = {
-            "open": gate.premium.open + gate.basic.open, "target": min(target, 1e6),
-            "chance": gate.premium.chance, "basic": gate.basic.chance, "ready": len(fleet.ready),
-            "suspects": sum(fleet.suspect(s, now) for s in fleet.ready), "barred": fleet.barred,
+            "open": gate.premium.open + gate.basic.open,
+            "target": min(target, 1e6),
+            "chance": gate.premium.chance,
+            "basic": gate.basic.chance,
+            "ready": len(fleet.ready),
+            "suspects": sum(fleet.suspect(s, now) for s in fleet.ready),
+            "barred": fleet.barred,
             "cold": sum(fleet.warmth(s, now) < 1.0 for s in fleet.ready),
-            "silent": sum(s.silent for s in fleet.ready), "strain": gate.capacity.strain,
-            "links": ingress.pool.links, "budget": gate.budget, "misses": gate.quota.misses,
-            "due": len(gate.quota.due), "accounts": len(gate.quota.accounts), "carry": fleet.carry,
-            "tickets": len(gate.tickets), "qrate": gate.quota.rate, "pace": fleet.pace,
+            "silent": sum(s.silent for s in fleet.ready),
+            "strain": gate.capacity.strain,
+            "links": ingress.pool.links,
+            "budget": gate.budget,
+            "misses": gate.quota.misses,
+            "due": len(gate.quota.due),
+            "accounts": len(gate.quota.accounts),
+            "carry": fleet.carry,
+            "tickets": len(gate.tickets),
+            "qrate": gate.quota.rate,
+            "pace": fleet.pace,
             "service": fleet.service[0][0],
         }
         counts, self.counts = self.counts, Counter()
         dials, self.dials, servers, self.servers = self.dials, {}, self.servers, {}
-        return {"at": time.time(), "cpu": time.process_time(), "n": dict(counts), "is": states,
-                "dials": dials, "servers": servers}
+        return {
+            "at": time.time(),
+            "cpu": time.process_time(),
+            "n": dict(counts),
+            "is": states,
+            "dials": dials,
+            "servers": servers,
+        }
 
 
 def age_of(age: float) -> str:
@@ -159,13 +184,35 @@
     reply, began = call.reply, time.time()
 
     def told(answer: Answer) -> None:
-        sends = [{"to": d.host, "at": round((d.sent_at - call.came_at) / 1e6, 3), "written": d.written,
-                  "ended": d.ended} for d in call.delegations]
-        print(CALL + json.dumps({
-            "trace": call.trace, "at": round(began, 3), "took": round(time.time() - began, 3),
-            "left": round((call.ends_at - call.came_at) / 1e6, 3), "class": call.cls, "plan": call.plan,
-            "customer": call.customer, "units": call.units, "retry": call.retry,
-            "answer": type(answer).__name__, "sends": sends}), file=sys.stderr, flush=True)
+        sends = [
+            {
+                "to": d.host,
+                "at": round((d.sent_at - call.came_at) / 1e6, 3),
+                "written": d.written,
+                "ended": d.ended,
+            }
+            for d in call.delegations
+        ]
+        print(
+            CALL
+            + json.dumps(
+                {
+                    "trace": call.trace,
+                    "at": round(began, 3),
+                    "took": round(time.time() - began, 3),
+                    "left": round((call.ends_at - call.came_at) / 1e6, 3),
+                    "class": call.cls,
+                    "plan": call.plan,
+                    "customer": call.customer,
+                    "units": call.units,
+                    "retry": call.retry,
+                    "answer": type(answer).__name__,
+                    "sends": sends,
+                }
+            ),
+            file=sys.stderr,
+            flush=True,
+        )
         reply(answer)
 
     call.reply = told
@@ -276,25 +323,39 @@
                 starts.append(now)
             else:
                 used += now - before
-    calls = [text for path in folder.glob("*.log") for text in path.read_text(errors="replace").splitlines()
-             if " asked " in text]
+    calls = [
+        text
+        for path in folder.glob("*.log")
+        for text in path.read_text(errors="replace").splitlines()
+        if " asked " in text
+    ]
     failed = sum(" seq " not in text for text in calls)
     given_up = {key: value for key, value in sorted(sums.items()) if key.startswith("up.")}
     rows: dict[str, object] = {
-        "tries": sums["arrived"], "served": sums["served"],
-        "refused or failed": sum(given_up.values()), **given_up,
-        "sent": sums["sent"], "of these further attempts": sums["sent.more"],
+        "tries": sums["arrived"],
+        "served": sums["served"],
+        "refused or failed": sum(given_up.values()),
+        **given_up,
+        "sent": sums["sent"],
+        "of these further attempts": sums["sent.more"],
         "to cold ones": sums["sent.cold"],
         "to suspects": sums["sent.suspect"],
-        "ended in error": sums["out.error"], "turned away": sums["out.full"],
-        "called off": sums["out.cancelled"], "timed out": sums["out.timeout"],
+        "ended in error": sums["out.error"],
+        "turned away": sums["out.full"],
+        "called off": sums["out.cancelled"],
+        "timed out": sums["out.timeout"],
         "mean answer, ms": round(sums["ok.ms"] / max(1, sums["out.ok"])),
-        "connections made": sums["connect.ok"], "refused": sums["connect.refused"],
+        "connections made": sums["connect.ok"],
+        "refused": sums["connect.refused"],
         "not come up": sums["connect.late"],
-        "counter calls": sums["count"], "without an answer": sums["counted.timeout"] + sums["counted.full"],
-        "messages heard": sums["heard"], "discovery calls": len(calls), "failed": failed,
+        "counter calls": sums["count"],
+        "without an answer": sums["counted.timeout"] + sums["counted.full"],
+        "messages heard": sums["heard"],
+        "discovery calls": len(calls),
+        "failed": failed,
         "CPU to the first second of service, s": round(sum(starts) / max(1, len(starts)), 2),
-        "CPU a try after that, ms": round(1000 * used / max(1, sums["arrived"]), 2)}
+        "CPU a try after that, ms": round(1000 * used / max(1, sums["arrived"]), 2),
+    }
     for name, value in rows.items():
         out(f"{name:>40} {value}")
 
--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -79,8 +79,14 @@
     began, world = time.process_time(), grown(members, seed, loss, delay)
     rng = random.Random(seed)
     tempo = Tempo(members, max(1.0, 4.0 * 2.2 * delay), loss, delay, doubt(loss))
-    row: Row = {"seed": seed, "members": members, "loss": loss, "delay": delay,
-                "bound_detection": bounds.detection(tempo), "bound_settling": bounds.settling(tempo, QUIET)}
+    row: Row = {
+        "seed": seed,
+        "members": members,
+        "loss": loss,
+        "delay": delay,
+        "bound_detection": bounds.detection(tempo),
+        "bound_settling": bounds.settling(tempo, QUIET),
+    }
     sent, counted = world.sent, world.bytes
     world.run(IDLE)
     row["datagrams"] = (world.sent - sent) / IDLE / members
@@ -89,8 +95,11 @@
     died = world.now
     world.kill(victim)
     others = [name for name in world.places if name != victim]
-    row["detection"] = wait(world, lambda: all(world.shown(n, victim) == "unreachable" for n in others),
-                            2.0 * row["bound_detection"])
+    row["detection"] = wait(
+        world,
+        lambda: all(world.shown(n, victim) == "unreachable" for n in others),
+        2.0 * row["bound_detection"],
+    )
     verdicts = [at - died for at, _ in world.happened("unreachable", victim)]
     row["first"] = min(verdicts, default=None)
     row["settling"] = wait(world, lambda: world.one_view(others), 2.0 * row["bound_settling"])
@@ -192,16 +201,20 @@
         world.cut = lambda one, other: False
         times["healing"].append(world.run_until(world.one_view, 60.0, 0.05))
 
-    found: dict[str, dict[str, list[float]]] = {"processes": defaultdict(list),
-                                                "simulated": defaultdict(list)}
+    found: dict[str, dict[str, list[float]]] = {
+        "processes": defaultdict(list),
+        "simulated": defaultdict(list),
+    }
     trio.run(real, found["processes"])
     for seed in range(20 * given.times):
         simulated(seed, found["simulated"])
     for where, times in found.items():
         for what, seconds in times.items():
             some = sorted(seconds)
-            print(f"{where:10} {what:10} least {some[0]:.2f}, median {some[len(some) // 2]:.2f}, "
-                  f"most {some[-1]:.2f} s of {len(some)}")
+            print(
+                f"{where:10} {what:10} least {some[0]:.2f}, median {some[len(some) // 2]:.2f}, "
+                f"most {some[-1]:.2f} s of {len(some)}"
+            )
 
 
 async def enough(count: int, wanted: int) -> bool:
@@ -227,8 +240,10 @@
     groups: dict[tuple[int, float], list[Row]] = defaultdict(list)
     for row in rows:
         groups[row["members"], row["loss"]].append(row)
-    print("members loss runs  detection s (median, most, bound)  settling s (median, most, bound)  healing s"
-          "  wrong  datagrams  bytes a member and s")
+    print(
+        "members loss runs  detection s (median, most, bound)  settling s (median, most, bound)  healing s"
+        "  wrong  datagrams  bytes a member and s"
+    )
     for (members, loss), some in sorted(groups.items()):
         times = "  ".join(shown(some, what) for what in ("detection", "settling", "healing"))
         wrong, datagrams = sum(row["wrong"] for row in some), mean(some, "datagrams")
@@ -269,18 +284,28 @@
 
     folder.mkdir(parents=True, exist_ok=True)
     figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5))
-    for axis, what, title in zip(axes, ("detection", "settling", "datagrams"),
-                                 ("all call it unreachable, s", "one settled view again, s",
-                                  "datagrams a member and second, idle"), strict=True):
+    for axis, what, title in zip(
+        axes,
+        ("detection", "settling", "datagrams"),
+        ("all call it unreachable, s", "one settled view again, s", "datagrams a member and second, idle"),
+        strict=True,
+    ):
         for loss in LOSSES:
             of_loss = [row for row in rows if row["loss"] == loss]
-            points = [(members, values([row for row in of_loss if row["members"] == members], what))
-                      for members in MEMBERS]
+            points = [
+                (members, values([row for row in of_loss if row["members"] == members], what))
+                for members in MEMBERS
+            ]
             points = [(members, found) for members, found in points if found]
-            axis.plot([m for m, _ in points], [f[len(f) // 2] for _, f in points], marker="o",
-                      label=f"loss {loss:.0%}")
-            axis.fill_between([m for m, _ in points], [f[0] for _, f in points], [f[-1] for _, f in points],
-                              alpha=0.15)
+            axis.plot(
+                [m for m, _ in points],
+                [f[len(f) // 2] for _, f in points],
+                marker="o",
+                label=f"loss {loss:.0%}",
+            )
+            axis.fill_between(
+                [m for m, _ in points], [f[0] for _, f in points], [f[-1] for _, f in points], alpha=0.15
+            )
         axis.set_xscale("log")
         axis.set_xlabel("members")
         axis.set_title(title)
--- a/benchmarks/long_bodies.py
+++ b/benchmarks/long_bodies.py
@@ -36,9 +36,17 @@
     host, port = dial.split(":")
     began, got = trio.current_time(), 0
     async with await trio.open_tcp_stream(host, int(port)) as stream:
-        head = [f"GET /look/{size} HTTP/1.1", "Host: x", f"X-Trace-Id: r{number}", f"X-Contract: {PLANS[0]}",
-                f"X-Client-Id: {CUSTOMERS[0]}", "X-Expires-In-Ms: 2500",
-                "X-Metering: units=1,spread=1,first=0", "", ""]
+        head = [
+            f"GET /look/{size} HTTP/1.1",
+            "Host: x",
+            f"X-Trace-Id: r{number}",
+            f"X-Contract: {PLANS[0]}",
+            f"X-Client-Id: {CUSTOMERS[0]}",
+            "X-Expires-In-Ms: 2500",
+            "X-Metering: units=1,spread=1,first=0",
+            "",
+            "",
+        ]
         await stream.send_all("\r\n".join(head).encode())
         while got < size:
             data = await stream.receive_some(16_384 if pace else 262_144)
--- a/benchmarks/plan_change.py
+++ b/benchmarks/plan_change.py
@@ -79,13 +79,18 @@
 
     def __init__(self, arm: Arm, seed: int, demand: float = DEMAND) -> None:
         self.arm, self.many = arm, len(arm.heard)
-        self.arrivals, self.sizes, self.ways = (np.random.Generator(np.random.PCG64(s))
-                                                for s in np.random.SeedSequence(seed).spawn(3))
+        self.arrivals, self.sizes, self.ways = (
+            np.random.Generator(np.random.PCG64(s)) for s in np.random.SeedSequence(seed).spawn(3)
+        )
         self.now, self.heap = 0.0, list[tuple[float, int, Callable[[], None]]]()
         self.serial, self.ids = itertools.count(), itertools.count()
-        given = i.Settings([FETCH], [SMALL, LARGE], gatekeepers=self.many,
-                           accounting=i.Accounting(counter=True),
-                           limits=i.Limits(cancel=True, retry_after=True, max_retry_after=2.0))
+        given = i.Settings(
+            [FETCH],
+            [SMALL, LARGE],
+            gatekeepers=self.many,
+            accounting=i.Accounting(counter=True),
+            limits=i.Limits(cancel=True, retry_after=True, max_retry_after=2.0),
+        )
         self.gates = [Gatekeeper(replace(given, me=me), seed * 100 + me) for me in range(self.many)]
         self.totals: dict[str, float] = {}
         self.units: dict[str, float] = {}
@@ -124,13 +129,17 @@
             self.at(self.now + COUNTER_DELAY / 2, add)
         elif isinstance(action, i.Send):
             self.charge(self.units[action.id])
-            self.at(self.now + ANSWER_AFTER, lambda: self.feed(me, i.Outcome(
-                action.id, 0, action.server, "ok", ANSWER_AFTER, True)))
+            self.at(
+                self.now + ANSWER_AFTER,
+                lambda: self.feed(me, i.Outcome(action.id, 0, action.server, "ok", ANSWER_AFTER, True)),
+            )
 
     def charge(self, units: float) -> None:
         plan = self.terms(self.now - CHANGE_AT)
-        carried = [max(0.0, debt - rate * (self.now - at)) for (debt, at), rate in zip(
-            self.carried, (plan.rate, plan.ceiling_rate), strict=True)]
+        carried = [
+            max(0.0, debt - rate * (self.now - at))
+            for (debt, at), rate in zip(self.carried, (plan.rate, plan.ceiling_rate), strict=True)
+        ]
         over = self.true.draw(self.now, plan.rate, plan.burst, units, carried[0])
         past = self.ceiling.draw(self.now, plan.ceiling_rate, plan.ceiling_burst, units, carried[1])
         if CHANGE_AT <= self.now < CHANGE_AT + WINDOW:
@@ -211,11 +220,15 @@
     on_time, late = (0.0,) * many, (0.0,) * (many - 1) + (3.0,)
     cut_off = (0.0,) * (many - 1) + (WINDOW,)
     return [
-        Arm("no change", SMALL, SMALL, on_time), Arm("up, together", SMALL, LARGE, on_time),
-        Arm("up, one 3 s late", SMALL, LARGE, late), Arm("down, together", LARGE, SMALL, on_time),
-        Arm("down, one 3 s late", LARGE, SMALL, late), Arm("down, one cut off", LARGE, SMALL, cut_off),
+        Arm("no change", SMALL, SMALL, on_time),
+        Arm("up, together", SMALL, LARGE, on_time),
+        Arm("up, one 3 s late", SMALL, LARGE, late),
+        Arm("down, together", LARGE, SMALL, on_time),
+        Arm("down, one 3 s late", LARGE, SMALL, late),
+        Arm("down, one cut off", LARGE, SMALL, cut_off),
         Arm("up and back in 1 s", SMALL, LARGE, on_time, 1.0),
-        Arm("up and back in 1 s, late", SMALL, LARGE, late, 1.0)]
+        Arm("up and back in 1 s, late", SMALL, LARGE, late, 1.0),
+    ]
 
 
 def main(words: Sequence[str] | None = None) -> int:
@@ -224,8 +237,10 @@
     parser.add_argument("--gatekeepers", type=int, default=3)
     given = parser.parse_args(words)
     print(f"{given.gatekeepers} gatekeepers, {given.seeds} seeds, units within {WINDOW:g} s of the change")
-    print(f"{'arm':26}{'over: mean':>11}{'max':>8}{'least bound':>13}{'under: mean':>13}{'max':>8}"
-          f"{'past ceiling':>14}{'beyond bound':>14}")
+    print(
+        f"{'arm':26}{'over: mean':>11}{'max':>8}{'least bound':>13}{'under: mean':>13}{'max':>8}"
+        f"{'past ceiling':>14}{'beyond bound':>14}"
+    )
     worst = 0
     for arm in arms(given.gatekeepers):
         results = [World(arm, seed).run() for seed in range(given.seeds)]
@@ -234,8 +249,10 @@
         past = np.array([r.ceiling for r in results])
         beyond = int(((over > limits) | (past > ceiling_bound(arm) + 1e-6)).sum())
         worst += beyond
-        print(f"{arm.name:26}{over.mean():11.1f}{over.max():8.1f}{limits.min():13.1f}{under.mean():13.1f}"
-              f"{under.max():8.1f}{past.max():14.1f}{beyond:14d}")
+        print(
+            f"{arm.name:26}{over.mean():11.1f}{over.max():8.1f}{limits.min():13.1f}{under.mean():13.1f}"
+            f"{under.max():8.1f}{past.max():14.1f}{beyond:14d}"
+        )
     return 1 if worst else 0
 
 
--- a/benchmarks/platform_cost.py
+++ b/benchmarks/platform_cost.py
@@ -45,9 +45,13 @@
         http = HttpClient(dial)
         while self.sent < self.calls:
             self.sent += 1
-            headers = (("X-Trace-Id", f"c{self.sent}"), ("X-Contract", rng.choice(PLANS)),
-                       ("X-Client-Id", rng.choice(CUSTOMERS)), ("X-Expires-In-Ms", "2500"),
-                       ("X-Metering", "units=1,spread=1,first=0"))
+            headers = (
+                ("X-Trace-Id", f"c{self.sent}"),
+                ("X-Contract", rng.choice(PLANS)),
+                ("X-Client-Id", rng.choice(CUSTOMERS)),
+                ("X-Expires-In-Ms", "2500"),
+                ("X-Metering", "units=1,spread=1,first=0"),
+            )
             answer = await http.ask("GET", "/look", within=3.0, headers=headers)
             assert answer.status == 200, answer
         http.close()
@@ -111,8 +115,10 @@
     print(f"{given.rounds} rounds, {given.calls} calls by {given.clients} clients; medians (least to most)")
     print(f"{'arm':28}{'CPU us a call':>26}{'MiB at start':>24}{'MiB after':>12}{'calls/s':>10}")
     for arm in arms:
-        print(f"{arm.name:28}{spread(arm.cpu_us):>26}{spread(arm.start_mb):>24}"
-              f"{statistics.median(arm.after_mb):12.1f}{statistics.median(arm.rate):10.0f}")
+        print(
+            f"{arm.name:28}{spread(arm.cpu_us):>26}{spread(arm.start_mb):>24}"
+            f"{statistics.median(arm.after_mb):12.1f}{statistics.median(arm.rate):10.0f}"
+        )
     if len(trees) > 1:
         ratios = [new / old for new, old in zip(arms[1].cpu_us, arms[0].cpu_us, strict=True)]
         print(f"CPU, tree 2 / tree 1, round by round: {spread(ratios, 3)}")
--- a/benchmarks/recording.py
+++ b/benchmarks/recording.py
@@ -1,6 +1,6 @@
 """How many uses a second one state folder records, by the size of a group, with and without an fsync.
 
-    python -m benchmarks.recording --seconds 2
+python -m benchmarks.recording --seconds 2
 """
 
 from __future__ import annotations
@@ -26,8 +26,12 @@
     store, number, groups = DurableStore(database, 1), 1, 0
     began = time.perf_counter()
     while (took := time.perf_counter() - began) < seconds:
-        store.append([Use(n, "00000000b4d65521", "large-museum", "look", 1_000_000, 1_700_000_000_000_000)
-                      for n in range(number, number + group)])
+        store.append(
+            [
+                Use(n, "00000000b4d65521", "large-museum", "look", 1_000_000, 1_700_000_000_000_000)
+                for n in range(number, number + group)
+            ]
+        )
         number, groups = number + group, groups + 1
     database.close()
     return (number - 1) / took, took / groups * 1e6
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -24,7 +24,7 @@
 
 __all__ = ["Accounts", "Box", "CounterStandIn", "Discovery", "Ingress", "Place"]
 
-CUSTOMERS = [f"{0xb4d65521 + n:016x}" for n in range(20)]
+CUSTOMERS = [f"{0xB4D65521 + n:016x}" for n in range(20)]
 PLANS = ("small-gallery", "large-museum")
 
 
@@ -51,8 +51,9 @@
         watch = b"wait=" in request.target
         if watch:
             await trio.sleep(10)
-        hosts = [{"host": f"box-{n}", "dial": box.dial, "health": "active"}
-                 for n, box in enumerate(self.boxes)]
+        hosts = [
+            {"host": f"box-{n}", "dial": box.dial, "health": "active"} for n, box in enumerate(self.boxes)
+        ]
         news = {"seq": 1, "whole": not watch, "hosts": [] if watch else hosts}
         return 200, [], json.dumps(news).encode()
 
@@ -94,16 +95,39 @@
         place = self.place
         plans = [{"name": name, "rate": 5000.0, "depth": 10_000.0} for name in PLANS]
         settings = {
-            "balancers": place.of, "me": place.number, "step": 4_000_000,
-            "classes": [{"name": "look", "aim": 1_000_000_000, "deadline": 3_000_000_000},
-                        {"name": "buy", "aim": 1_000_000_000, "deadline": 3_000_000_000, "effect": "by_key",
-                         "keyScope": "cell", "window": 10_000_000_000}],
-            "tiersOfService": plans, "limits": {"maxAttempts": 3, "cancel": True, "retryAfter": True,
-                                                "maxRetryAfter": 500_000_000, "connectTimeout": 250_000_000},
+            "balancers": place.of,
+            "me": place.number,
+            "step": 4_000_000,
+            "classes": [
+                {"name": "look", "aim": 1_000_000_000, "deadline": 3_000_000_000},
+                {
+                    "name": "buy",
+                    "aim": 1_000_000_000,
+                    "deadline": 3_000_000_000,
+                    "effect": "by_key",
+                    "keyScope": "cell",
+                    "window": 10_000_000_000,
+                },
+            ],
+            "tiersOfService": plans,
+            "limits": {
+                "maxAttempts": 3,
+                "cancel": True,
+                "retryAfter": True,
+                "maxRetryAfter": 500_000_000,
+                "connectTimeout": 250_000_000,
+            },
             "familyInfo": {"sharedCounter": True, "countWait": 80_000_000, "settles": True, "maxUnits": 6},
-            "invariants": {"drainGrace": 250_000_000, "coldShare": 1.0, "rampTime": 1_000_000}}
-        config = {"name": f"n{place.number}", "listen": f"127.0.0.1:{place.port}", "seed": str(place.number),
-                  "discovery": place.discovery, "counter": place.counter, "settings": settings}
+            "invariants": {"drainGrace": 250_000_000, "coldShare": 1.0, "rampTime": 1_000_000},
+        }
+        config = {
+            "name": f"n{place.number}",
+            "listen": f"127.0.0.1:{place.port}",
+            "seed": str(place.number),
+            "discovery": place.discovery,
+            "counter": place.counter,
+            "settings": settings,
+        }
         (place.folder / "config.json").write_text(json.dumps(config))
         if place.operator:
             (place.folder / "operator.toml").write_text(place.operator)
@@ -114,8 +138,9 @@
         if self.place.operator:
             env["GORSEFORK_OPERATOR"] = str(self.place.folder / "operator.toml")
         with (self.place.folder / "log").open("ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "gorsefork"], env=env, stderr=log,
-                                            cwd=self.place.tree)
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gorsefork"], env=env, stderr=log, cwd=self.place.tree
+            )
 
     def kill(self) -> None:
         assert self.process is not None
--- a/benchmarks/usage_kills.py
+++ b/benchmarks/usage_kills.py
@@ -59,8 +59,10 @@
     def place(self, number: int) -> Ingress:
         folder = self.folder / f"n{number}"
         folder.mkdir()
-        operator = (f'[state]\nfolder = "{folder / "state"}"\nsync = "{self.sync}"\n'
-                    f'[usage]\naccounts = "{self.accounts.dial}"\nflush_ms = 20\ntimeout_ms = 500\n')
+        operator = (
+            f'[state]\nfolder = "{folder / "state"}"\nsync = "{self.sync}"\n'
+            f'[usage]\naccounts = "{self.accounts.dial}"\nflush_ms = 20\ntimeout_ms = 500\n'
+        )
         ingress = Ingress(Place(number, self.many, folder, self.discovery.dial, self.counter.dial, operator))
         ingress.write()
         return ingress
@@ -71,8 +73,13 @@
         while not self.stop:
             self.asked += 1
             trace, customer = f"{place}-{self.asked}", rng.choice(CUSTOMERS)
-            headers = [("X-Trace-Id", trace), ("X-Contract", rng.choice(PLANS)), ("X-Client-Id", customer),
-                       ("X-Expires-In-Ms", "2000"), ("X-Metering", "units=1,spread=1,first=0")]
+            headers = [
+                ("X-Trace-Id", trace),
+                ("X-Contract", rng.choice(PLANS)),
+                ("X-Client-Id", customer),
+                ("X-Expires-In-Ms", "2000"),
+                ("X-Metering", "units=1,spread=1,first=0"),
+            ]
             buy = rng.random() < 0.3
             if buy:
                 headers.append(("Idempotency-Key", trace))
@@ -80,8 +87,9 @@
             if http.kept is not None and not http.kept[0].quiet():
                 http.close()
             try:
-                answer = await http.ask("POST" if buy else "GET", "/buy" if buy else "/look", within=2.5,
-                                        headers=tuple(headers))
+                answer = await http.ask(
+                    "POST" if buy else "GET", "/buy" if buy else "/look", within=2.5, headers=tuple(headers)
+                )
             except NoAnswer:
                 self.statuses[0] += 1
                 await trio.sleep(0.05)
@@ -104,8 +112,11 @@
             done += 1
             if done % 20 == 0:
                 kept = sum(life.records for life in self.accounts.ledger.lives())
-                print(f"  {done} kills, {len(self.got)} calls served, {kept} uses exported", file=sys.stderr,
-                      flush=True)
+                print(
+                    f"  {done} kills, {len(self.got)} calls served, {kept} uses exported",
+                    file=sys.stderr,
+                    flush=True,
+                )
         return done
 
     async def run(self, kills: int, clients: int) -> tuple[int, list[int]]:
--- a/benchmarks/version_change.py
+++ b/benchmarks/version_change.py
@@ -46,11 +46,21 @@
         self.door, self.ops = door, f"127.0.0.1:{free_port()}"
 
     def start(self) -> None:
-        env = {**os.environ, "PROXY_CONFIG": str(self.place.folder / "config.json"),
-               "TMPDIR": str(self.place.folder), "PROXY_FD": str(self.door.fileno()), "PROXY_OPS": self.ops}
+        env = {
+            **os.environ,
+            "PROXY_CONFIG": str(self.place.folder / "config.json"),
+            "TMPDIR": str(self.place.folder),
+            "PROXY_FD": str(self.door.fileno()),
+            "PROXY_OPS": self.ops,
+        }
         with (self.place.folder / "log").open("ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "gorsefork"], env=env, stderr=log,
-                                            cwd=self.place.tree, pass_fds=(self.door.fileno(),))
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gorsefork"],
+                env=env,
+                stderr=log,
+                cwd=self.place.tree,
+                pass_fds=(self.door.fileno(),),
+            )
 
     async def says_yes(self) -> None:
         host, port = self.ops.split(":")
@@ -75,9 +85,13 @@
     http, number = HttpClient(dial), 0
     while True:
         number += 1
-        headers = (("X-Trace-Id", f"{rng.getrandbits(60):x}"), ("X-Contract", rng.choice(PLANS)),
-                   ("X-Client-Id", rng.choice(CUSTOMERS)), ("X-Expires-In-Ms", "2500"),
-                   ("X-Metering", "units=1,spread=1,first=0"))
+        headers = (
+            ("X-Trace-Id", f"{rng.getrandbits(60):x}"),
+            ("X-Contract", rng.choice(PLANS)),
+            ("X-Client-Id", rng.choice(CUSTOMERS)),
+            ("X-Expires-In-Ms", "2500"),
+            ("X-Metering", "units=1,spread=1,first=0"),
+        )
         try:
             answer = await http.ask("GET", "/look", within=3.0, headers=headers)
             seen.failed += answer.status != 200
@@ -131,10 +145,14 @@
         seen = trio.run(measure, given.changes, given.clients, Path(folder))
     times = sorted(seen.answers)
     gap = max(b - a for a, b in itertools.pairwise(times))
-    print(f"{given.changes} changes, {given.clients} clients, {len(times)} answers: "
-          f"{seen.turned_back} turned back, {seen.failed} failed, longest gap {gap * 1000:.0f} ms")
-    print(f"both together: {statistics.median(seen.memory):.0f} MiB (most {max(seen.memory):.0f}), "
-          f"{max(seen.descriptors)} descriptors at the most")
+    print(
+        f"{given.changes} changes, {given.clients} clients, {len(times)} answers: "
+        f"{seen.turned_back} turned back, {seen.failed} failed, longest gap {gap * 1000:.0f} ms"
+    )
+    print(
+        f"both together: {statistics.median(seen.memory):.0f} MiB (most {max(seen.memory):.0f}), "
+        f"{max(seen.descriptors)} descriptors at the most"
+    )
     return 0
 
 
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -33,7 +33,7 @@
 catch_up_ms = 0
 
 [state]
-folder = "{place / 'state'}"
+folder = "{place / "state"}"
 sync = "normal"
 
 [fleet]
@@ -41,8 +41,12 @@
 site = "example"
 seeds = ["127.0.0.1:{FIRST_FLEET}"]   # any one that is there
 """)
-    return {**os.environ, "PROXY_CONFIG": str(place / "config.json"), "PYTHONPATH": str(ROOT),
-            "GORSEFORK_OPERATOR": str(place / "operator.toml")}
+    return {
+        **os.environ,
+        "PROXY_CONFIG": str(place / "config.json"),
+        "PYTHONPATH": str(ROOT),
+        "GORSEFORK_OPERATOR": str(place / "operator.toml"),
+    }
 
 
 def main() -> None:
@@ -51,8 +55,11 @@
         running = []
         for number in range(3):
             with (folder / f"log-{number}").open("wb") as log:
-                running.append(subprocess.Popen([sys.executable, "-m", "gorsefork"], stderr=log,
-                                                env=written(folder, number)))
+                running.append(
+                    subprocess.Popen(
+                        [sys.executable, "-m", "gorsefork"], stderr=log, env=written(folder, number)
+                    )
+                )
         tool, control = "python -m gorsefork fleet", f"--control 127.0.0.1:{FIRST_CONTROL}"
         print("Three ingresses: " + ", ".join(f"n{n} is process {p.pid}" for n, p in enumerate(running)))
         print(f"Their logs are in {folder}. In a second terminal:\n")
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -46,8 +46,16 @@
     def do_GET(self) -> None:
         query = parse_qs(urlsplit(self.path).query)
         time.sleep(int(query.get("wait", ["0"])[0]) / 1000)  # nothing ever changes here
-        box = {"host": "box-1", "dial": "127.0.0.1:9101", "site": "here", "class": "toy", "block": 0,
-               "health": "active", "share": 1.0, "born_ms": 0}
+        box = {
+            "host": "box-1",
+            "dial": "127.0.0.1:9101",
+            "site": "here",
+            "class": "toy",
+            "block": 0,
+            "health": "active",
+            "share": 1.0,
+            "born_ms": 0,
+        }
         news = {"seq": 1, "whole": not query, "hosts": [] if query else [box]}
         self.answer(200, json.dumps(news).encode(), "application/json")
 
--- a/gorsefork/cli/control.py
+++ b/gorsefork/cli/control.py
@@ -69,9 +69,7 @@
             raise Failed(f"{dial} answered {answer.status}: {reason}")
         return said
 
-    def pages(
-        self, path: str, query: dict[str, Any], rows: str, last: Callable[[Any], str]
-    ) -> list[Any]:
+    def pages(self, path: str, query: dict[str, Any], rows: str, last: Callable[[Any], str]) -> list[Any]:
         """All rows of a call that tells them page by page."""
         found: list[Any] = []
         while True:
@@ -95,9 +93,7 @@
 def reaches(command: F) -> F:
     """Adds ``--control``, ``--key-file`` and ``--json``; the command gets ``targets`` and ``as_json``."""
 
-    def dials(
-        context: click.Context, parameter: click.Parameter, given: Sequence[str]
-    ) -> tuple[str, ...]:
+    def dials(context: click.Context, parameter: click.Parameter, given: Sequence[str]) -> tuple[str, ...]:
         for dial in given:
             try:
                 address(dial)
@@ -105,9 +101,7 @@
                 raise click.BadParameter(str(error)) from None
         return tuple(given)
 
-    command = click.option("--json", "as_json", is_flag=True, help="For programs: JSON on stdout.")(
-        command
-    )
+    command = click.option("--json", "as_json", is_flag=True, help="For programs: JSON on stdout.")(command)
     command = click.option(
         "--key-file",
         envvar="GORSEFORK_CONTROL_KEY_FILE",
@@ -142,9 +136,7 @@
     """Microseconds of Unix time as a person reads them."""
     if not at:
         return "-"
-    return (
-        datetime.fromtimestamp(at / SECOND, UTC).isoformat(" ", "seconds").removesuffix("+00:00") + "Z"
-    )
+    return datetime.fromtimestamp(at / SECOND, UTC).isoformat(" ", "seconds").removesuffix("+00:00") + "Z"
 
 
 class When(click.ParamType[int]):
--- a/gorsefork/cli/fleet.py
+++ b/gorsefork/cli/fleet.py
@@ -25,10 +25,19 @@
     reach, answers = targets(dials, key_file), []
     for dial in reach.dials:
         answers.append({"control": dial, **reach.ask("GET", "/v1/fleet", dial=dial)})
-    rows = [[row["control"], row["member"], row["part"], "yes" if row["settled"] else "no",
-             f"{row['changed_s_ago']} s ago", row["digest"],
-             " ".join(f"{count} {state}" for state, count in sorted(row["states"].items())),
-             "; ".join(row["lacking"]) or "-"] for row in answers]
+    rows = [
+        [
+            row["control"],
+            row["member"],
+            row["part"],
+            "yes" if row["settled"] else "no",
+            f"{row['changed_s_ago']} s ago",
+            row["digest"],
+            " ".join(f"{count} {state}" for state, count in sorted(row["states"].items())),
+            "; ".join(row["lacking"]) or "-",
+        ]
+        for row in answers
+    ]
     headers = ["ingress", "member", "sees", "settled", "changed", "digest", "members", "lacks"]
     show(answers, as_json, rows, headers)
 
@@ -38,20 +47,36 @@
 def members(dials: tuple[str, ...], key_file: str | None, as_json: bool) -> None:
     """All members that the first --control knows, and who told of each."""
     told = targets(dials, key_file).ask("GET", "/v1/fleet/members")
-    rows = [[row["member"], row["state"], f"{row['since_s']} s", row["by"],
-             "-" if row["heard_s_ago"] is None else f"{row['heard_s_ago']} s ago", row["life"],
-             row["incarnation"], row["dial"], row["control"] or "-", row["zone"] or "-"]
-            for row in told["members"]]
-    show(told, as_json, rows, ["member", "state", "for", "told by", "heard", "life", "incarnation", "address",
-                               "control", "zone"])
+    rows = [
+        [
+            row["member"],
+            row["state"],
+            f"{row['since_s']} s",
+            row["by"],
+            "-" if row["heard_s_ago"] is None else f"{row['heard_s_ago']} s ago",
+            row["life"],
+            row["incarnation"],
+            row["dial"],
+            row["control"] or "-",
+            row["zone"] or "-",
+        ]
+        for row in told["members"]
+    ]
+    show(
+        told,
+        as_json,
+        rows,
+        ["member", "state", "for", "told by", "heard", "life", "incarnation", "address", "control", "zone"],
+    )
 
 
 @fleet.command()
 @click.option("--most", type=click.IntRange(min=1), default=None, help="End after so many events.")
 @click.option("--all", "from_start", is_flag=True, help="Begin with the events that the ingress still has.")
 @reaches
-def watch(most: int | None, from_start: bool, dials: tuple[str, ...], key_file: str | None,
-          as_json: bool) -> None:
+def watch(
+    most: int | None, from_start: bool, dials: tuple[str, ...], key_file: str | None, as_json: bool
+) -> None:
     """Each change of a member's state, as the first --control sees it, until interrupted."""
     reach, shown = targets(dials, key_file), 0
     after = 0 if from_start else reach.ask("GET", "/v1/fleet/watch", {"after": 0})["newest"]
--- a/gorsefork/cli/plans.py
+++ b/gorsefork/cli/plans.py
@@ -34,14 +34,10 @@
     command = click.option("--key", default=None, help="Repeat a call under its key: it is one change.")(
         command
     )
-    return click.option("--author", default=getpass.getuser, show_default="you", help="Who asks.")(
-        command
-    )
+    return click.option("--author", default=getpass.getuser, show_default="you", help="Who asks.")(command)
 
 
-def make(
-    at: Targets, act: dict[str, Any], author: str, note: str, key: str | None, as_json: bool
-) -> None:
+def make(at: Targets, act: dict[str, Any], author: str, note: str, key: str | None, as_json: bool) -> None:
     """Made at the first ingress, and given to the others as it stands; says which have it."""
     wanted = {"act": act, "author": author, "note": note}
     made = at.ask("POST", "/v1/changes", body=wanted, key=key or new_key())
@@ -56,10 +52,7 @@
     show(
         {"number": made["number"], "change": made["change"], "ingresses": have},
         as_json,
-        [
-            [made["number"], row["ingress"], "yes" if row["has_it"] else "NO", row["problem"]]
-            for row in have
-        ],
+        [[made["number"], row["ingress"], "yes" if row["has_it"] else "NO", row["problem"]] for row in have],
         ["number", "ingress", "has it", "problem"],
     )
     if lacking := [row["ingress"] for row in have if not row["has_it"]]:
@@ -88,9 +81,7 @@
 def list_(at: int | None, dials: tuple[str, ...], key_file: str | None, as_json: bool) -> None:
     """The customers that the book names, and what holds for them."""
     query = {"at": at} if at else {}
-    rows = targets(dials, key_file).pages(
-        "/v1/plans", query, "customers", lambda row: str(row["customer"])
-    )
+    rows = targets(dials, key_file).pages("/v1/plans", query, "customers", lambda row: str(row["customer"]))
     show(
         rows,
         as_json,
@@ -111,9 +102,7 @@
 @click.argument("customer", type=CUSTOMER)
 @click.option("--at", type=TIME, default=None, help="As it is at that time; now if not given.")
 @reaches
-def show_(
-    customer: str, at: int | None, dials: tuple[str, ...], key_file: str | None, as_json: bool
-) -> None:
+def show_(customer: str, at: int | None, dials: tuple[str, ...], key_file: str | None, as_json: bool) -> None:
     """What holds for one customer, at each ingress that is named."""
     reach, answers = targets(dials, key_file), []
     for dial in reach.dials:
@@ -146,9 +135,7 @@
 def history(customer: str | None, dials: tuple[str, ...], key_file: str | None, as_json: bool) -> None:
     """All changes, or those of one customer, in their order."""
     query = {"customer": customer} if customer else {}
-    rows = targets(dials, key_file).pages(
-        "/v1/changes", query, "changes", lambda row: str(row["number"])
-    )
+    rows = targets(dials, key_file).pages("/v1/changes", query, "changes", lambda row: str(row["number"]))
     show(
         rows,
         as_json,
--- a/gorsefork/fleet/membership.py
+++ b/gorsefork/fleet/membership.py
@@ -114,8 +114,18 @@
     """One life of one ingress in the fleet. ``wake_at`` says when ``wake`` is due; after each call ``out``
     and ``events`` are the caller's to empty."""
 
-    def __init__(self, name: str, life: int, card: Card, codec: Codec, pace: Pace, rng: random.Random,
-                 now: int, seeds: Iterable[bytes] = (), unix: int = 0) -> None:
+    def __init__(
+        self,
+        name: str,
+        life: int,
+        card: Card,
+        codec: Codec,
+        pace: Pace,
+        rng: random.Random,
+        now: int,
+        seeds: Iterable[bytes] = (),
+        unix: int = 0,
+    ) -> None:
         self.name, self.codec, self.pace, self.rng = name, codec, pace, rng
         self.unix = unix or life - now  # what makes the caller's clock Unix time
         self.view = View()
@@ -194,8 +204,11 @@
         if unsure:
             missing.append("suspect or joining: " + ", ".join(sorted(unsure)[:8]))
         others = [name for name in self.view.seen() if name != self.name]
-        fresh = {name: digest for name, (digest, at) in self.agreed.items()
-                 if name in others and at >= max(self.view.changed_at, self.now - 8 * self.pace.period)}
+        fresh = {
+            name: digest
+            for name, (digest, at) in self.agreed.items()
+            if name in others and at >= max(self.view.changed_at, self.now - 8 * self.pace.period)
+        }
         if len(fresh) < min(3, len(others)):
             missing.append(f"the digests of {min(3, len(others)) - len(fresh)} more members")
         if differing := sorted(name for name, digest in fresh.items() if digest != self.view.digest()):
@@ -209,8 +222,9 @@
         """Tell all a small fact about this life; the next one under the same kind and key takes its place.
         ``False`` where this life has no room for another key."""
         old = self.own_notes.get((kind, key))
-        note = Note(self.name, self.life, kind, key, old.version + 1 if old else max(1, self.now + self.unix),
-                    value)
+        note = Note(
+            self.name, self.life, kind, key, old.version + 1 if old else max(1, self.now + self.unix), value
+        )
         if not self.view.take_note(note, self.now):
             return False
         self.own_notes[kind, key] = note
@@ -301,8 +315,13 @@
             self.view.lose(member, self.now)
             member.knock_at, member.knocks = self.now + KNOCK_FIRST * self.pace.period, 0
             self.agreed.pop(member.fact.name, None)
-            self.tell("unreachable", member.fact.name, member.fact.life, "here",
-                      f"nobody contradicted {', '.join(sorted(suspicion.accusers))}")
+            self.tell(
+                "unreachable",
+                member.fact.name,
+                member.fact.life,
+                "here",
+                f"nobody contradicted {', '.join(sorted(suspicion.accusers))}",
+            )
 
     def look_at_probes(self) -> None:
         for serial, probe in list(self.probes.items()):
@@ -331,8 +350,14 @@
         member = self.view.members.get(probe.name)
         if member is not None and member.fact.life == probe.life and len(probe.sent) < TRIES:
             probe.sent.append(self.now)
-            self.send("ping", member.fact.card.dial, serial=probe.serial + len(probe.sent) - 1,
-                      target=probe.name, target_life=probe.life, about=probe.name)
+            self.send(
+                "ping",
+                member.fact.card.dial,
+                serial=probe.serial + len(probe.sent) - 1,
+                target=probe.name,
+                target_life=probe.life,
+                about=probe.name,
+            )
 
     def ask_relays(self, probe: Probe) -> None:
         member = self.view.members.get(probe.name)
@@ -342,8 +367,15 @@
         others = [name for name in self.view.seen() if name not in (self.name, probe.name)]
         chosen = self.rng.sample(others, min(RELAYS, len(others)))
         for name in chosen:
-            self.send("relay", self.view.members[name].fact.card.dial, serial=probe.serial, target=probe.name,
-                      target_life=probe.life, dial=member.fact.card.dial, about=name)
+            self.send(
+                "relay",
+                self.view.members[name].fact.card.dial,
+                serial=probe.serial,
+                target=probe.name,
+                target_life=probe.life,
+                dial=member.fact.card.dial,
+                about=name,
+            )
         probe.asked = len(chosen) or -1
 
     def missed(self, probe: Probe) -> None:
@@ -368,8 +400,15 @@
         self.counts.probes += 1
         relay_at = max(self.pace.timeout, 2 * self.patience()) * (1 + self.doubt)
         ends_at = self.now + self.stretch() - self.pace.period // 20
-        probe = Probe(name, self.view.members[name].fact.life, self.next_serial(), self.now + relay_at,
-                      ends_at, self.now + self.patience(), second)
+        probe = Probe(
+            name,
+            self.view.members[name].fact.life,
+            self.next_serial(),
+            self.now + relay_at,
+            ends_at,
+            self.now + self.patience(),
+            second,
+        )
         self.probes[probe.serial] = probe
         self.ping(probe)
 
@@ -413,8 +452,15 @@
             pause = min(KNOCK_MOST, KNOCK_FIRST * 2 ** min(member.knocks, 8)) * self.pace.period
             member.knocks += 1
             member.knock_at = self.now + round(pause * self.rng.uniform(0.75, 1.25))
-            self.send("ping", member.fact.card.dial, serial=self.next_serial(), target=member.fact.name,
-                      target_life=member.fact.life, facts=(self.fact, member.fact), about=member.fact.name)
+            self.send(
+                "ping",
+                member.fact.card.dial,
+                serial=self.next_serial(),
+                target=member.fact.name,
+                target_life=member.fact.life,
+                facts=(self.fact, member.fact),
+                about=member.fact.name,
+            )
 
     def hail(self, dial: bytes) -> None:
         """A ping to whoever is there, who may never have heard of this ingress."""
@@ -450,9 +496,13 @@
             self.tell("part", self.name, self.life, "here", f"sees {part} of the last settled fleet")
         if settled != self.was_settled:
             self.was_settled = settled
-            self.tell("settled" if settled else "unsettled", self.name, self.life, "here",
-                      f"view {self.view.number}, digest {self.view.digest().hex()}, "
-                      f"{len(self.view.seen())} seen")
+            self.tell(
+                "settled" if settled else "unsettled",
+                self.name,
+                self.life,
+                "here",
+                f"view {self.view.number}, digest {self.view.digest().hex()}, {len(self.view.seen())} seen",
+            )
 
     # What comes.
 
@@ -494,9 +544,13 @@
         self.refused_at.move_to_end((known, reason))
         while len(self.refused_at) > MOST_SOURCES:
             self.refused_at.popitem(last=False)
-        text = {"site": "is of another site", "version": "speaks a version too far from this one",
-                "key": "has another key", "size": "sent too much or too little",
-                "form": "sent what cannot be read"}[reason]
+        text = {
+            "site": "is of another site",
+            "version": "speaks a version too far from this one",
+            "key": "has another key",
+            "size": "sent too much or too little",
+            "form": "sent what cannot be read",
+        }[reason]
         self.tell("refused", known, 0, "here", f"{known} {text}")
 
     def answer(self, message: Message, source: bytes) -> None:
@@ -514,9 +568,14 @@
             case "ping":
                 if message.target in ("", self.name) and message.target_life in (0, self.life):
                     stranger = not current or not message.target
-                    self.send("ack", source, serial=message.serial, about=about,
-                              facts=(self.fact,) if stranger else (),
-                              range_=self.whole() if stranger else None)
+                    self.send(
+                        "ack",
+                        source,
+                        serial=message.serial,
+                        about=about,
+                        facts=(self.fact,) if stranger else (),
+                        range_=self.whole() if stranger else None,
+                    )
                 elif message.target == self.name:
                     self.correct(source, self.fact)
             case "ack":
@@ -569,10 +628,18 @@
         if len(self.errands) >= MOST_RELAYED or not message.dial:
             return
         serial = self.next_serial()
-        self.errands[serial] = Errand(source, message.serial, message.target, message.target_life,
-                                      self.now + self.pace.timeout)
-        self.send("ping", message.dial, serial=serial, target=message.target, target_life=message.target_life,
-                  facts=(self.fact,), about=message.target)
+        self.errands[serial] = Errand(
+            source, message.serial, message.target, message.target_life, self.now + self.pace.timeout
+        )
+        self.send(
+            "ping",
+            message.dial,
+            serial=serial,
+            target=message.target,
+            target_life=message.target_life,
+            facts=(self.fact,),
+            about=message.target,
+        )
 
     # Facts.
 
@@ -591,8 +658,12 @@
             return
         member = self.view.members.get(fact.name)
         if member is not None and fact.rank == member.fact.rank:
-            if fact.state == State.SUSPECT and fact.accuser and member.suspicion is not None \
-                    and fact.accuser not in member.suspicion.accusers:
+            if (
+                fact.state == State.SUSPECT
+                and fact.accuser
+                and member.suspicion is not None
+                and fact.accuser not in member.suspicion.accusers
+            ):
                 self.confirm(member, fact.accuser)
             return
         if self.take(fact, by) is None and member is not None and member.fact.beats(fact):
@@ -608,8 +679,9 @@
         if fact.state == State.SUSPECT:
             self.suspect(member, fact.accuser or by)
         if fact.terminal:
-            self.notes.pieces = {about: piece for about, piece in self.notes.pieces.items()
-                                 if piece.what.owner != fact.name}
+            self.notes.pieces = {
+                about: piece for about, piece in self.notes.pieces.items() if piece.what.owner != fact.name
+            }
             self.agreed.pop(fact.name, None)
         elif before is None and self.ring:
             self.ring.insert(self.rng.randrange(len(self.ring) + 1), fact.name)
@@ -619,16 +691,24 @@
         if old_life and old_life != fact.life:
             self.tell("ended", fact.name, old_life, by, f"life {fact.life} has taken its place")
         if before != member.shown or old_life != fact.life:
-            self.tell(member.shown, fact.name, fact.life, by,
-                      f"{fact.name} is {member.shown}" + (f", was {before}" if before else ""))
+            self.tell(
+                member.shown,
+                fact.name,
+                fact.life,
+                by,
+                f"{fact.name} is {member.shown}" + (f", was {before}" if before else ""),
+            )
         return member
 
     def suspect(self, member: Member, accuser: str) -> None:
         if member.suspicion is None:
             size, period = len(self.view.seen()), self.pace.period / SECOND
-            member.suspicion = Suspicion(self.now, round(suspicion_least(size, period) * SECOND),
-                                         round(suspicion_most(size, period) * SECOND),
-                                         min(CONFIRMS, max(0, size - 3)))
+            member.suspicion = Suspicion(
+                self.now,
+                round(suspicion_least(size, period) * SECOND),
+                round(suspicion_most(size, period) * SECOND),
+                min(CONFIRMS, max(0, size - 3)),
+            )
             self.view.suspects.add(member.fact.name)
         member.suspicion.accusers.add(accuser)
 
@@ -697,8 +777,14 @@
         self.mend_at = self.now + self.pace.period // MEND_AGAIN
         self.spend("range", dial, self.whole())
 
-    def spend(self, kind: Kind, dial: bytes, range_: Range, facts: tuple[Fact, ...] = (),
-              notes: tuple[Note, ...] = ()) -> None:
+    def spend(
+        self,
+        kind: Kind,
+        dial: bytes,
+        range_: Range,
+        facts: tuple[Fact, ...] = (),
+        notes: tuple[Note, ...] = (),
+    ) -> None:
         """What mends has a budget a period; what goes beyond it waits for the next exchange."""
         if self.mend_credit >= 1.0:
             self.mend_credit -= 1.0
@@ -742,10 +828,16 @@
     def complete(self, theirs: Range, facts: tuple[Fact, ...], dial: bytes) -> None:
         """What is known here of a range beyond what was pushed, lives that are over among it."""
         told = {fact.name: fact.rank for fact in facts}
-        newer = [m for m in self.view.members.values() if m.digits.startswith(theirs.prefix)
-                 and ((m.fact.name in told and m.fact.rank > told[m.fact.name])
-                      or (m.fact.name not in told and not m.fact.terminal)
-                      or (m.notes and m.fact.name in told))]
+        newer = [
+            m
+            for m in self.view.members.values()
+            if m.digits.startswith(theirs.prefix)
+            and (
+                (m.fact.name in told and m.fact.rank > told[m.fact.name])
+                or (m.fact.name not in told and not m.fact.terminal)
+                or (m.notes and m.fact.name in told)
+            )
+        ]
         self.push(theirs.prefix, newer, dial, reply=False)
 
     def correct(self, dial: bytes, fact: Fact) -> None:
@@ -757,15 +849,46 @@
     def room(self, range_: Range | None) -> int:
         return LONGEST - self.codec.size(self.message("push", range_=range_)) - 17
 
-    def message(self, kind: Kind, serial: int = 0, target: str = "", target_life: int = 0, dial: bytes = b"",
-                facts: tuple[Fact, ...] = (), notes: tuple[Note, ...] = (),
-                range_: Range | None = None) -> Message:
-        return Message(kind, self.name, self.life, self.fact.incarnation, serial, self.view.digest(),
-                       min(65535, len(self.view)), facts, notes, target, target_life, dial, range_)
-
-    def send(self, kind: Kind, to: bytes, serial: int = 0, target: str = "", target_life: int = 0,
-             dial: bytes = b"", facts: tuple[Fact, ...] = (), notes: tuple[Note, ...] = (),
-             range_: Range | None = None, about: str = "") -> None:
+    def message(
+        self,
+        kind: Kind,
+        serial: int = 0,
+        target: str = "",
+        target_life: int = 0,
+        dial: bytes = b"",
+        facts: tuple[Fact, ...] = (),
+        notes: tuple[Note, ...] = (),
+        range_: Range | None = None,
+    ) -> Message:
+        return Message(
+            kind,
+            self.name,
+            self.life,
+            self.fact.incarnation,
+            serial,
+            self.view.digest(),
+            min(65535, len(self.view)),
+            facts,
+            notes,
+            target,
+            target_life,
+            dial,
+            range_,
+        )
+
+    def send(
+        self,
+        kind: Kind,
+        to: bytes,
+        serial: int = 0,
+        target: str = "",
+        target_life: int = 0,
+        dial: bytes = b"",
+        facts: tuple[Fact, ...] = (),
+        notes: tuple[Note, ...] = (),
+        range_: Range | None = None,
+        about: str = "",
+    ) -> None:
         """With as much news as fits. ``about``: whom it goes to; what concerns it goes first."""
         bare = self.message(kind, serial, target, target_life, dial, facts, notes, range_)
         left = LONGEST - 17 - self.codec.size(bare)
--- a/gorsefork/fleet/messages.py
+++ b/gorsefork/fleet/messages.py
@@ -104,5 +104,16 @@
         return message
 
 
-__all__ = ["FAN_OUT", "HEAD", "LONGEST", "VERSION", "Codec", "Dial", "Kind", "Message", "Range", "Refusal",
-           "Refused"]
+__all__ = [
+    "FAN_OUT",
+    "HEAD",
+    "LONGEST",
+    "VERSION",
+    "Codec",
+    "Dial",
+    "Kind",
+    "Message",
+    "Range",
+    "Refusal",
+    "Refused",
+]
--- a/gorsefork/fleet/spread.py
+++ b/gorsefork/fleet/spread.py
@@ -42,13 +42,20 @@
             del self.pieces[max(self.pieces, key=lambda key: self.pieces[key].sent)]
         self.pieces[about] = Piece(what)
 
-    def pick(self, room: int, size: Callable[[T], int], most_sent: int,
-             first: Iterable[object] = ()) -> list[T]:
+    def pick(
+        self, room: int, size: Callable[[T], int], most_sent: int, first: Iterable[object] = ()
+    ) -> list[T]:
         """As many pieces as fit into ``room`` bytes; those in ``first`` before all others."""
         ahead = set(first)
         found: list[T] = []
-        order = sorted(self.pieces.items(), key=lambda item: (item[0] not in ahead, urgency(item[1].what),
-                                                              item[1].sent)) if self.pieces else ()
+        order = (
+            sorted(
+                self.pieces.items(),
+                key=lambda item: (item[0] not in ahead, urgency(item[1].what), item[1].sent),
+            )
+            if self.pieces
+            else ()
+        )
         for about, piece in order:
             if room < 8 or len(found) == 16:
                 break
--- a/gorsefork/fleet/view.py
+++ b/gorsefork/fleet/view.py
@@ -96,8 +96,11 @@
     def seen(self) -> list[str]:
         """Those taken for living: alive, or suspect and not yet given up. This one among them."""
         if self.seen_now is None:
-            self.seen_now = [name for name, m in self.members.items()
-                             if m.fact.state in (State.ALIVE, State.SUSPECT) and not m.lost]
+            self.seen_now = [
+                name
+                for name, m in self.members.items()
+                if m.fact.state in (State.ALIVE, State.SUSPECT) and not m.lost
+            ]
         return self.seen_now
 
     def lose(self, member: Member, now: int) -> None:
--- a/gorsefork/grpc/outcomes.py
+++ b/gorsefork/grpc/outcomes.py
@@ -75,9 +75,19 @@
 SERVED = Verdict("ok", Code.OK, Use.SERVED, answer=True)
 
 # An application's answers that speak of the request, not of the backend: final, whoever would serve it next.
-OF_THE_REQUEST = frozenset((
-    Code.INVALID_ARGUMENT, Code.NOT_FOUND, Code.ALREADY_EXISTS, Code.PERMISSION_DENIED,
-    Code.FAILED_PRECONDITION, Code.OUT_OF_RANGE, Code.UNIMPLEMENTED, Code.UNAUTHENTICATED, Code.ABORTED))
+OF_THE_REQUEST = frozenset(
+    (
+        Code.INVALID_ARGUMENT,
+        Code.NOT_FOUND,
+        Code.ALREADY_EXISTS,
+        Code.PERMISSION_DENIED,
+        Code.FAILED_PRECONDITION,
+        Code.OUT_OF_RANGE,
+        Code.UNIMPLEMENTED,
+        Code.UNAUTHENTICATED,
+        Code.ABORTED,
+    )
+)
 
 # Where no status came. By the end alone; ``read`` adds what had been sent.
 TABLE: dict[End, Verdict] = {
--- a/gorsefork/grpc/status.py
+++ b/gorsefork/grpc/status.py
@@ -28,9 +28,16 @@
 
 
 # What a client is to make of an answer that is not gRPC's own, by its HTTP status.
-FROM_HTTP = {400: Code.INTERNAL, 401: Code.UNAUTHENTICATED, 403: Code.PERMISSION_DENIED,
-             404: Code.UNIMPLEMENTED, 429: Code.UNAVAILABLE, 502: Code.UNAVAILABLE,
-             503: Code.UNAVAILABLE, 504: Code.UNAVAILABLE}
+FROM_HTTP = {
+    400: Code.INTERNAL,
+    401: Code.UNAUTHENTICATED,
+    403: Code.PERMISSION_DENIED,
+    404: Code.UNIMPLEMENTED,
+    429: Code.UNAVAILABLE,
+    502: Code.UNAVAILABLE,
+    503: Code.UNAVAILABLE,
+    504: Code.UNAVAILABLE,
+}
 DIGITS = re.compile(rb"[0-9]{1,3}")
 MOST_MESSAGE = 1024  # bytes of a message that are passed on, as they stand
 
--- a/gorsefork/grpc/timeouts.py
+++ b/gorsefork/grpc/timeouts.py
@@ -5,8 +5,14 @@
 import re
 
 TIMEOUT = re.compile(rb"([0-9]{1,8})([HMSmun])")
-NANOSECONDS = {b"H": 3_600_000_000_000, b"M": 60_000_000_000, b"S": 1_000_000_000, b"m": 1_000_000,
-               b"u": 1_000, b"n": 1}
+NANOSECONDS = {
+    b"H": 3_600_000_000_000,
+    b"M": 60_000_000_000,
+    b"S": 1_000_000_000,
+    b"m": 1_000_000,
+    b"u": 1_000,
+    b"n": 1,
+}
 MOST = 99_999_999  # what eight digits hold
 
 
--- a/gorsefork/life/config.py
+++ b/gorsefork/life/config.py
@@ -72,11 +72,22 @@
         for peer in raw.get("peers") or ():
             address(peer)
         return Config(
-            raw["name"], raw["listen"], raw["discovery"], int(str(raw.get("seed") or "0"), 16), settings,
-            tuple(given.get("failureDomains", ())), tuple(given.get("machineTypes", ())),
-            raw.get("known") or {"seq": 0, "whole": True, "hosts": []}, raw.get("counter") or "",
-            raw.get("peer_listen") or "", tuple(raw.get("peers") or ()), raw.get("peers_all") or "",
-            int(raw.get("limits", {}).get("sockets", 1024)), raw.get("ops") or "",
-            env.get("TMPDIR", "") if fd else "", int(fd) if fd else None)
+            raw["name"],
+            raw["listen"],
+            raw["discovery"],
+            int(str(raw.get("seed") or "0"), 16),
+            settings,
+            tuple(given.get("failureDomains", ())),
+            tuple(given.get("machineTypes", ())),
+            raw.get("known") or {"seq": 0, "whole": True, "hosts": []},
+            raw.get("counter") or "",
+            raw.get("peer_listen") or "",
+            tuple(raw.get("peers") or ()),
+            raw.get("peers_all") or "",
+            int(raw.get("limits", {}).get("sockets", 1024)),
+            raw.get("ops") or "",
+            env.get("TMPDIR", "") if fd else "",
+            int(fd) if fd else None,
+        )
     except UNREADABLE as error:
         raise BadConfig(f"{type(error).__name__}: {error}") from None
--- a/gorsefork/life/fleet.py
+++ b/gorsefork/life/fleet.py
@@ -32,8 +32,16 @@
         await trio.to_thread.run_sync(partial(self.file.save, kept))
 
 
-def fleet_link(given: Fleet, name: str, seed: int, folder: str, control: str, clock: Clock, log: Log,
-               changed: Callable[[], None]) -> FleetLink:
+def fleet_link(
+    given: Fleet,
+    name: str,
+    seed: int,
+    folder: str,
+    control: str,
+    clock: Clock,
+    log: Log,
+    changed: Callable[[], None],
+) -> FleetLink:
     """``control``: where this ingress's control listener is, or nothing. ``BadOperatorFile`` where the name,
     the key or the address can't be used; what the last life kept and can't be read is said and passed
     over."""
@@ -47,8 +55,11 @@
             kept = file.load()
             settings = msgspec.convert(kept.pace, Settings)
     except (Unusable, msgspec.ValidationError) as error:
-        log(f"what the last life knew of the fleet is not used: {error}", event="fleet.unread",
-            reason=str(error))
+        log(
+            f"what the last life knew of the fleet is not used: {error}",
+            event="fleet.unread",
+            reason=str(error),
+        )
     pace = Pace(given.period_ms * 1000, given.timeout_ms * 1000, given.quiet_ms * 1000, given.keep_s * SECOND)
     try:
         pace = paced(pace, settings)
@@ -64,8 +75,17 @@
     host = address(given.advertise)[0] if given.ported() else given.advertise
     dial = given.advertise if given.ported() else reached(named(sock), host)
     card = Card(packed(dial), packed(reached(control, host)) if control else b"", given.zone)
-    core = Membership(name, max(clock.unix_us(), kept.life + 1), card, Codec(given.site, key), pace, rng,
-                      clock.now, seeds, clock.unix_offset)
+    core = Membership(
+        name,
+        max(clock.unix_us(), kept.life + 1),
+        card,
+        Codec(given.site, key),
+        pace,
+        rng,
+        clock.now,
+        seeds,
+        clock.unix_offset,
+    )
     return FleetLink(core, sock, clock, log, FileShelf(file) if file is not None else None, changed, settings)
 
 
--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -90,8 +90,10 @@
         if hello.get("version") != VERSION or hello.get("name") != self.ingress.config.name:
             raise BadLink(f"it is {hello.get('name')!r}, version {hello.get('version')!r}")
         registry, list_ = self.ingress.registry, hello["list"]
-        hosts = tuple(Host(str(n), str(d), s, int(at), str(site), str(kind), int(block), float(share))
-                      for n, d, s, at, site, kind, block, share in list_["hosts"])
+        hosts = tuple(
+            Host(str(n), str(d), s, int(at), str(site), str(kind), int(block), float(share))
+            for n, d, s, at, site, kind, block, share in list_["hosts"]
+        )
         if int(list_["seq"]) > registry.version and all(h.state in ("ready", "draining") for h in hosts):
             registry.apply(News("cached", int(list_["seq"]), hosts))
             self.ingress.watch.version = registry.version
@@ -188,11 +190,21 @@
 
     def hello(self) -> dict[str, Any]:
         registry = self.ingress.registry
-        return {"version": VERSION, "name": self.ingress.config.name, "away": self.ingress.duty.away,
-                "seen": list(registry.seen), "down": registry.down, "back": registry.back,
-                "list": {"seq": registry.version, "hosts": [
+        return {
+            "version": VERSION,
+            "name": self.ingress.config.name,
+            "away": self.ingress.duty.away,
+            "seen": list(registry.seen),
+            "down": registry.down,
+            "back": registry.back,
+            "list": {
+                "seq": registry.version,
+                "hosts": [
                     [h.name, h.dial, h.state, h.started, h.site, h.kind, h.block, h.share]
-                    for h in registry.hosts.values()]}}
+                    for h in registry.hosts.values()
+                ],
+            },
+        }
 
     def give(self) -> bool:
         """This process takes no more. Whether there is one that goes on."""
--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -93,16 +93,30 @@
         settings = self.config.settings
         self.decider, self.ready = decider, ready
         self.contracts = Contracts(settings.plans, self.book)
-        self.keeper = PlanKeeper(self.contracts, self.book_shelf, self.clock, self.config.name,
-                                 str(self.shelf.store.life), self.retold, self.log)
+        self.keeper = PlanKeeper(
+            self.contracts,
+            self.book_shelf,
+            self.clock,
+            self.config.name,
+            str(self.shelf.store.life),
+            self.retold,
+            self.log,
+        )
         decider.terms = self.contracts
-        self.fellows = Fellows(self.given.control.peers if self.given.control else (), self.bearer(self.key),
-                               self.clock, self.config.seed, self.keeper.learn, self.log)
+        self.fellows = Fellows(
+            self.given.control.peers if self.given.control else (),
+            self.bearer(self.key),
+            self.clock,
+            self.config.seed,
+            self.keeper.learn,
+            self.log,
+        )
         if self.given.usage is not None:
             self.record_use(self.given.usage.most_waiting, settings)
         if self.given.control is not None:
-            front = ControlFront(self.keeper, self.key, self.clock.unix_us, self.status, self.usage,
-                                 self.export)
+            front = ControlFront(
+                self.keeper, self.key, self.clock.unix_us, self.status, self.usage, self.export
+            )
             self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
             front.start = self.acceptor.start
         if (fleet := self.given.fleet) is not None:
@@ -110,8 +124,16 @@
 
             folder = self.given.state.folder if self.given.state else ""
             control = self.acceptor.where if self.acceptor is not None else ""
-            self.link = fleet_link(fleet, self.config.name, self.config.seed, folder, control, self.clock,
-                                   self.log, self.fleet_changed)
+            self.link = fleet_link(
+                fleet,
+                self.config.name,
+                self.config.seed,
+                folder,
+                control,
+                self.clock,
+                self.log,
+                self.fleet_changed,
+            )
             if self.given.control is not None:
                 from gorsefork.wire.fronts.fleet_calls import FleetCalls
 
@@ -127,12 +149,26 @@
         assert given is not None
         names = [plan.name for plan in settings.plans], [cls.name for cls in settings.classes]
         self.recorder = recorder = Recorder(
-            self.shelf, self.clock, most_waiting, names, lambda: len(self.decider.calls), self.suspend,
-            lambda: exporter.recorded())
-        at = AccountsAt(given.accounts, given.path, given.form, given.batch, given.flush_ms * 1000,
-                        given.timeout_ms / 1000, self.bearer(self.accounts_key))
-        self.exporter = exporter = Exporter(at, self.shelf, self.clock, self.log, self.config.seed,
-                                            recorder.look)
+            self.shelf,
+            self.clock,
+            most_waiting,
+            names,
+            lambda: len(self.decider.calls),
+            self.suspend,
+            lambda: exporter.recorded(),
+        )
+        at = AccountsAt(
+            given.accounts,
+            given.path,
+            given.form,
+            given.batch,
+            given.flush_ms * 1000,
+            given.timeout_ms / 1000,
+            self.bearer(self.accounts_key),
+        )
+        self.exporter = exporter = Exporter(
+            at, self.shelf, self.clock, self.log, self.config.seed, recorder.look
+        )
         self.decider.uses = recorder
 
     @staticmethod
@@ -143,8 +179,11 @@
         self.decider.retold(customers)
 
     def suspend(self, shut: bool, reason: str) -> None:
-        self.log(f"calls are {'refused: ' + reason if shut else 'taken again'}",
-                 event="usage.suspended" if shut else "usage.resumed", reason=reason)
+        self.log(
+            f"calls are {'refused: ' + reason if shut else 'taken again'}",
+            event="usage.suspended" if shut else "usage.resumed",
+            reason=reason,
+        )
         self.decider.post(i.Suspend(shut))
 
     async def run(self) -> None:
@@ -173,8 +212,12 @@
         unheard = [each.dial for each in self.fellows.followers if each.heard_at is None]
         newest = max((change.stamp for change in self.keeper.book.changes.values()), default=0)
         if unheard:
-            self.log(f"not all fellows were heard; the newest change here is of {newest}",
-                     event="plan.behind", unheard=unheard, newest=newest)
+            self.log(
+                f"not all fellows were heard; the newest change here is of {newest}",
+                event="plan.behind",
+                unheard=unheard,
+                newest=newest,
+            )
 
     async def finish(self) -> None:
         """The end of a drain: goodbye to the fleet, and this life's last number is told, if the accounts
@@ -188,8 +231,11 @@
         try:
             await self.shelf.run(self.shelf.store.end)
         except Unkept as error:
-            self.log(f"the end of this life is told by the next: {error}", event="usage.end_unkept",
-                     reason=str(error))
+            self.log(
+                f"the end of this life is told by the next: {error}",
+                event="usage.end_unkept",
+                reason=str(error),
+            )
         with trio.move_on_after(LAST_EXPORT):
             if self.exporter.shipping.state == "sending":  # cut off: that batch goes once more
                 self.exporter.shipping.nothing()
@@ -208,29 +254,51 @@
 
     def status(self) -> dict[str, Any]:
         now, book = self.clock.now, self.keeper.book
-        followers = [{
-            "fellow": each.dial, "state": each.state(now, STALE_AFTER), "problem": each.problem,
-            "heard_s_ago": None if each.heard_at is None else round((now - each.heard_at) / SECOND, 3),
-            "same_book": each.heard_at is not None and each.digest == book.digest()}
-            for each in self.fellows.followers]
+        followers = [
+            {
+                "fellow": each.dial,
+                "state": each.state(now, STALE_AFTER),
+                "problem": each.problem,
+                "heard_s_ago": None if each.heard_at is None else round((now - each.heard_at) / SECOND, 3),
+                "same_book": each.heard_at is not None and each.digest == book.digest(),
+            }
+            for each in self.fellows.followers
+        ]
         newest = max(book.changes, default=None)
-        return {"ingress": self.config.name, "life": str(self.shelf.store.life), "ready": self.ready(),
-                "up_s": round((now - self.began) / SECOND, 3),
-                "book": {"changes": len(book.changes), "digest": book.digest(),
-                         "newest": str(newest) if newest else None,
-                         "kept_on_disk": self.database is not None},
-                "fellows": followers, "usage": self.usage(),
-                "fleet": self.link.status() if self.link is not None else None}
+        return {
+            "ingress": self.config.name,
+            "life": str(self.shelf.store.life),
+            "ready": self.ready(),
+            "up_s": round((now - self.began) / SECOND, 3),
+            "book": {
+                "changes": len(book.changes),
+                "digest": book.digest(),
+                "newest": str(newest) if newest else None,
+                "kept_on_disk": self.database is not None,
+            },
+            "fellows": followers,
+            "usage": self.usage(),
+            "fleet": self.link.status() if self.link is not None else None,
+        }
 
     def usage(self) -> dict[str, Any]:
         if self.recorder is None or self.exporter is None:
             return {"recording": False}
         shipping, recorder = self.exporter.shipping, self.recorder
         acknowledged = shipping.acknowledged_at
-        return {"recording": True, "durable": self.database is not None, "life": str(self.shelf.store.life),
-                "recorded": recorder.recorded, "units": recorder.micro / MILLION, "groups": recorder.groups,
-                "waiting": self.shelf.store.waiting(), "most_waiting": recorder.admission.most,
-                "refusing_calls": recorder.admission.shut, "state": shipping.state,
-                "problem": shipping.problem,
-                "acknowledged_s_ago": None if acknowledged is None
-                else round((self.clock.now - acknowledged) / SECOND, 3)}
+        return {
+            "recording": True,
+            "durable": self.database is not None,
+            "life": str(self.shelf.store.life),
+            "recorded": recorder.recorded,
+            "units": recorder.micro / MILLION,
+            "groups": recorder.groups,
+            "waiting": self.shelf.store.waiting(),
+            "most_waiting": recorder.admission.most,
+            "refusing_calls": recorder.admission.shut,
+            "state": shipping.state,
+            "problem": shipping.problem,
+            "acknowledged_s_ago": None
+            if acknowledged is None
+            else round((self.clock.now - acknowledged) / SECOND, 3),
+        }
--- a/gorsefork/life/introspection_config.py
+++ b/gorsefork/life/introspection_config.py
@@ -139,12 +139,18 @@
 def directory(table: Table, env: Mapping[str, str], secrets: bool) -> Directory:
     attribute = r"[A-Za-z][A-Za-z0-9-]*"
     given = Directory(
-        port(table, "address"), table.text("bind_dn", r"[ -~]+"), secret(table, "password", env, secrets),
-        table.text("base", r".+"), table.whole("timeout_ms", 10, MOST_TIMEOUT_MS, 300),
-        table.whole("most_in_flight", 1, 32, 8), table.text("name_attribute", attribute, "cn"),
-        table.text("plan_attribute", attribute), table.text("customer_attribute", attribute),
+        port(table, "address"),
+        table.text("bind_dn", r"[ -~]+"),
+        secret(table, "password", env, secrets),
+        table.text("base", r".+"),
+        table.whole("timeout_ms", 10, MOST_TIMEOUT_MS, 300),
+        table.whole("most_in_flight", 1, 32, 8),
+        table.text("name_attribute", attribute, "cn"),
+        table.text("plan_attribute", attribute),
+        table.text("customer_attribute", attribute),
         table.text("spread_attribute", attribute + "|", ""),
-        table.text("first_attribute", attribute + "|", ""))
+        table.text("first_attribute", attribute + "|", ""),
+    )
     table.done()
     return given
 
@@ -167,8 +173,12 @@
 
 
 def tenant(table: Table) -> TenantEntry:
-    entry = TenantEntry(table.text("plan", r"[!-~]+"), table.text("customer", r"[0-9a-f]{16}"),
-                        table.whole("spread", 1, 10_000, 1), table.whole("first", 0, 9_999, 0))
+    entry = TenantEntry(
+        table.text("plan", r"[!-~]+"),
+        table.text("customer", r"[0-9a-f]{16}"),
+        table.whole("spread", 1, 10_000, 1),
+        table.whole("first", 0, 9_999, 0),
+    )
     table.done()
     return entry
 
@@ -206,5 +216,6 @@
             raise BadFile(f"tenants.{name}.plan: is no plan of this deployment")
         if entry.spread > settings.gatekeepers or entry.first >= settings.gatekeepers:
             raise BadFile(f"tenants.{name}.spread: this deployment has {settings.gatekeepers} ingresses")
-    return TableOfTenants({name: Tenant(plans[e.plan], e.customer, e.spread, e.first)
-                           for name, e in given.tenants.items()})
+    return TableOfTenants(
+        {name: Tenant(plans[e.plan], e.customer, e.spread, e.first) for name, e in given.tenants.items()}
+    )
--- a/gorsefork/life/keeper.py
+++ b/gorsefork/life/keeper.py
@@ -42,8 +42,16 @@
     A change is kept before it takes effect, and takes effect before its maker hears so.
     """
 
-    def __init__(self, contracts: Contracts, shelf: BookShelf, clock: Clock, name: str, life: str,
-                 retold: Callable[[Iterable[str]], None], log: Log) -> None:
+    def __init__(
+        self,
+        contracts: Contracts,
+        shelf: BookShelf,
+        clock: Clock,
+        name: str,
+        life: str,
+        retold: Callable[[Iterable[str]], None],
+        log: Log,
+    ) -> None:
         self.contracts, self.shelf, self.clock, self.retold, self.log = contracts, shelf, clock, retold, log
         self.stamps = Stamps(name, max((c.stamp for c in self.book.changes.values()), default=0))
         self.arrivals = Arrivals(life, self.book)
@@ -102,8 +110,12 @@
                     book = book.adding_within(change)
                 except Refused as refused:
                     later = later or (str(refused) if refused.status in PASSING else "")
-                    self.log(f"change {change.number} was not taken: {refused}", event="plan.refused",
-                             number=str(change.number), reason=str(refused))
+                    self.log(
+                        f"change {change.number} was not taken: {refused}",
+                        event="plan.refused",
+                        number=str(change.number),
+                        reason=str(refused),
+                    )
                 else:
                     fresh.append(change)
             if fresh:
@@ -122,9 +134,14 @@
         for change in changes:
             book = book.adding(change)
             self.arrivals.add(change)
-            self.log(f"change {change.number} by {change.author}", event="plan.changed",
-                     number=str(change.number), author=change.author, customer=change.customer or "all",
-                     act=type(change.act).__name__.lower())
+            self.log(
+                f"change {change.number} by {change.author}",
+                event="plan.changed",
+                number=str(change.number),
+                author=change.author,
+                customer=change.customer or "all",
+                act=type(change.act).__name__.lower(),
+            )
         self.retold(self.contracts.take(book, changes, self.clock.unix_us()))
         self.ring()
 
@@ -158,8 +175,11 @@
             with trio.CancelScope(deadline=wake):
                 await self.news.wait()
             if customers := self.contracts.due(self.clock.unix_us()):
-                self.log(f"terms of {len(customers)} customers may change by their time", event="plan.due",
-                         customers=customers[:20])
+                self.log(
+                    f"terms of {len(customers)} customers may change by their time",
+                    event="plan.due",
+                    customers=customers[:20],
+                )
                 self.retold(customers)
             if trio.current_time() >= tidy_at:
                 tidy_at = trio.current_time() + TIDY_EVERY
--- a/gorsefork/life/logs.py
+++ b/gorsefork/life/logs.py
@@ -36,14 +36,23 @@
         self.queue: queue.Queue[Any] = queue.Queue(MOST_WAITING)
         self.handler = Unblocking(self.queue)
         self.listener = logging.handlers.QueueListener(
-            self.queue, logging.StreamHandler(stream if stream is not None else sys.stderr))
+            self.queue, logging.StreamHandler(stream if stream is not None else sys.stderr)
+        )
         logger = logging.Logger(f"gorsefork.{ingress}", logging.INFO)
         logger.addHandler(self.handler)
-        renderer: Any = structlog.processors.JSONRenderer() if form == "json" \
+        renderer: Any = (
+            structlog.processors.JSONRenderer()
+            if form == "json"
             else structlog.dev.ConsoleRenderer(colors=False)
-        self.bound = structlog.wrap_logger(logger, processors=[
-            structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-            renderer])
+        )
+        self.bound = structlog.wrap_logger(
+            logger,
+            processors=[
+                structlog.processors.add_log_level,
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                renderer,
+            ],
+        )
         self.ingress = ingress
         self.listener.start()
 
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -81,8 +81,13 @@
 class Ingress:
     """One ingress, all parts of it, from its configuration."""
 
-    def __init__(self, config: Config, clock: Clock, introspection: IntrospectionConfig | None,
-                 extra: Installation | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        introspection: IntrospectionConfig | None,
+        extra: Installation | None = None,
+    ) -> None:
         self.config, self.extra, self.second = config, extra, introspection is not None
         self.log: Log = extra.log if extra is not None else log
         settings, sockets = config.settings, config.sockets
@@ -92,26 +97,52 @@
         self.decider.sites += config.sites
         self.decider.kinds += config.kinds
         self.registry = Registry(self.decider.listed, lambda host: self.pool.changed(host))
-        self.pool = BackendPool(clock, self.registry, self.decider.ended, settings.limits.keepalive,
-                           settings.limits.connect_timeout, int(sockets * BACKEND_SHARE), self.decider.opened)
+        self.pool = BackendPool(
+            clock,
+            self.registry,
+            self.decider.ended,
+            settings.limits.keepalive,
+            settings.limits.connect_timeout,
+            int(sockets * BACKEND_SHARE),
+            self.decider.opened,
+        )
         known = read_list(config.known, clock, cached=True)
         self.registry.apply(known)
-        self.watch = DiscoveryWatch(config.discovery, self.registry, clock, known.version,
-                                    random.Random(config.seed),
-                                    settings.gatekeepers if settings.subscribe else 0)
+        self.watch = DiscoveryWatch(
+            config.discovery,
+            self.registry,
+            clock,
+            known.version,
+            random.Random(config.seed),
+            settings.gatekeepers if settings.subscribe else 0,
+        )
         absent = Absent(self.decider.post)
-        self.counter = CounterClient(config.counter, clock, settings.accounting.counter_timeout,
-                                     self.decider.post) if config.counter else None
-        self.peers = PeerSocket(config.peer_listen, config.peers, config.peers_all, settings.me,
-                                self.hear_fellow,
-                                config.listen_fd is not None) if config.peer_listen else None
+        self.counter = (
+            CounterClient(config.counter, clock, settings.accounting.counter_timeout, self.decider.post)
+            if config.counter
+            else None
+        )
+        self.peers = (
+            PeerSocket(
+                config.peer_listen,
+                config.peers,
+                config.peers_all,
+                settings.me,
+                self.hear_fellow,
+                config.listen_fd is not None,
+            )
+            if config.peer_listen
+            else None
+        )
         self.decider.backends, self.decider.discovery = self.pool, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
-        front = PlatformFront(settings, self.decider.take, self.decider.gone, self.ready.is_set,
-                              self.duty.healthy)
+        front = PlatformFront(
+            settings, self.decider.take, self.decider.gone, self.ready.is_set, self.duty.healthy
+        )
         most = self.most_clients(sockets)
-        self.acceptors = [Acceptor(config.listen, front, clock, most, int(sockets * IDLE_SHARE),
-                                   config.listen_fd)]
+        self.acceptors = [
+            Acceptor(config.listen, front, clock, most, int(sockets * IDLE_SHARE), config.listen_fd)
+        ]
         if introspection is not None:
             self.acceptors.append(self.second_front(introspection, settings, sockets))
         if extra is not None:
@@ -138,12 +169,27 @@
         from gorsefork.wire.introspection import Gate, IntrospectionFront
         from gorsefork.wire.introspection_client import IntrospectionClient
 
-        client = IntrospectionClient(given.address, given.path, given.client_id, given.client_secret,
-                                     given.timeout_ms / 1000, given.most_in_flight, self.clock, self.note)
+        client = IntrospectionClient(
+            given.address,
+            given.path,
+            given.client_id,
+            given.client_secret,
+            given.timeout_ms / 1000,
+            given.most_in_flight,
+            self.clock,
+            self.note,
+        )
         front = IntrospectionFront(
-            settings, Gate(client, given.scopes, given.audience), tenants_of(given, settings, self.note),
-            given.tenant_claim, given.max_age_ms, self.clock, self.decider.take, self.decider.gone,
-            self.ready.is_set)
+            settings,
+            Gate(client, given.scopes, given.audience),
+            tenants_of(given, settings, self.note),
+            given.tenant_claim,
+            given.max_age_ms,
+            self.clock,
+            self.decider.take,
+            self.decider.gone,
+            self.ready.is_set,
+        )
         acceptor = Acceptor(given.listen, front, self.clock, int(sockets * SECOND_SHARE))
         front.start = acceptor.start
         return acceptor
@@ -197,8 +243,9 @@
             new = read_config(env)
             read_list(new.known, self.clock, cached=True)
         except (BadConfig, BadList) as error:
-            self.log(f"gorsefork: kept the old configuration: {error}", event="config.kept",
-                     reason=str(error))
+            self.log(
+                f"gorsefork: kept the old configuration: {error}", event="config.kept", reason=str(error)
+            )
             return
         old, here = self.config, {"known", "seed", "discovery"}
         if new.discovery != old.discovery:
@@ -210,8 +257,11 @@
         self.config = replace(old, **{key: getattr(new, key) for key in here})
         rest = [f.name for f in fields(new) if getattr(new, f.name) != getattr(self.config, f.name)]
         waits = ", ".join(rest) or "nothing"
-        self.log(f"gorsefork: read the configuration anew; waits for a restart: {waits}",
-                 event="config.reloaded", waits_for_restart=rest)
+        self.log(
+            f"gorsefork: read the configuration anew; waits for a restart: {waits}",
+            event="config.reloaded",
+            waits_for_restart=rest,
+        )
 
     async def run_parts(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -247,8 +297,9 @@
         self.ready.set()
         where = [acceptor.where for acceptor in self.acceptors]
         control = self.extra.acceptor.where if self.extra is not None and self.extra.acceptor else ""
-        self.log(f"gorsefork: ready on {', '.join(where)}", event="ingress.ready", listen=where,
-                 control=control)
+        self.log(
+            f"gorsefork: ready on {', '.join(where)}", event="ingress.ready", listen=where, control=control
+        )
 
     def finish_within(self) -> float:
         longest = max(cls.deadline for cls in self.config.settings.classes)
@@ -273,8 +324,9 @@
                 acceptor.stop_listening()
         await trio.sleep(LAST_REQUESTS)
         while trio.current_time() < began + self.finish_within() and (
-                any(acceptor.busy() for acceptor in self.acceptors)
-                or (self.handover is not None and self.handover.deserted())):
+            any(acceptor.busy() for acceptor in self.acceptors)
+            or (self.handover is not None and self.handover.deserted())
+        ):
             await trio.sleep(LOOK_EVERY)
         for acceptor in self.acceptors:
             acceptor.end_reading()
@@ -286,7 +338,6 @@
             await self.extra.finish()
 
 
-
 def main() -> None:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # outside of ``run`` it is to end nothing either
     faults: tuple[type[Exception], ...] = (BadConfig, BadList)
@@ -317,6 +368,7 @@
         sys.exit(2)
 
 
-async def serve(config: Config, clock: Clock, introspection: IntrospectionConfig | None,
-                extra: Installation | None) -> None:
+async def serve(
+    config: Config, clock: Clock, introspection: IntrospectionConfig | None, extra: Installation | None
+) -> None:
     await Ingress(config, clock, introspection, extra).run()
--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -111,8 +111,13 @@
             return False
         self.over = True
         if not isinstance(answer, Long):  # that one has its end still to come
-            self.count("fulfilled" if isinstance(answer, Served) else
-                       "throttled" if isinstance(answer, Overload) else "faulted")
+            self.count(
+                "fulfilled"
+                if isinstance(answer, Served)
+                else "throttled"
+                if isinstance(answer, Overload)
+                else "faulted"
+            )
         self.reply(answer)
         return True
 
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -47,9 +47,18 @@
         self.sites: list[str] = []
         self.kinds: list[str] = []
         self.doers: Mapping[type, Callable[[Any], None]] = {
-            i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
-            i.SetTimer: self.set_timer, i.Count: self.count, i.Tell: self.tell, i.CloseIdle: self.close_idle,
-            i.FetchList: self.fetch, i.Watch: self.watch, i.Log: self.write_log}
+            i.Send: self.send,
+            i.Cancel: self.cancel,
+            i.Refuse: self.refuse,
+            i.Fail: self.fail,
+            i.SetTimer: self.set_timer,
+            i.Count: self.count,
+            i.Tell: self.tell,
+            i.CloseIdle: self.close_idle,
+            i.FetchList: self.fetch,
+            i.Watch: self.watch,
+            i.Log: self.write_log,
+        }
 
     # What the fronts and the wire say.
 
@@ -74,9 +83,21 @@
         self.calls[call.id] = call
         terms = self.terms.terms(call.customer, call.plan, self.clock.unix_us()) if self.terms else None
         call.contract = terms.name if terms else ""
-        self.post(i.Request(call.id, call.cls, call.plan, call.customer, left, call.units, call.spread,
-                            call.first, call.retry, self.settings.classes[call.cls].effect != "repeatable",
-                            terms))
+        self.post(
+            i.Request(
+                call.id,
+                call.cls,
+                call.plan,
+                call.customer,
+                left,
+                call.units,
+                call.spread,
+                call.first,
+                call.retry,
+                self.settings.classes[call.cls].effect != "repeatable",
+                terms,
+            )
+        )
 
     def avoided(self) -> int:
         """Servers in the list that get nothing just now, by hand, by discovery's word or by choice."""
@@ -96,8 +117,17 @@
         elif ending.status == "ok":
             self.settle(self.uses, call, ending)
         latency = max(0, self.clock.now - delegation.sent_at) / SECOND
-        self.post(i.Outcome(call.id, delegation.number, delegation.host, ending.status, latency,
-                            call.over or call.settled, billed=ending.billed))
+        self.post(
+            i.Outcome(
+                call.id,
+                delegation.number,
+                delegation.host,
+                ending.status,
+                latency,
+                call.over or call.settled,
+                billed=ending.billed,
+            )
+        )
 
     async def opened(self, delegation: Delegation, answer: Long, billed: float) -> bool:
         """A good answer begins that is too large to hold: whether it is this one that the client gets.
@@ -121,8 +151,17 @@
                 call.finish(Failed())
         first = call.finish(answer)
         delegation.ended = delegation.may_have_run = True
-        self.post(i.Outcome(call.id, delegation.number, delegation.host, "ok" if first else "error",
-                            max(0, self.clock.now - delegation.sent_at) / SECOND, True, billed=billed))
+        self.post(
+            i.Outcome(
+                call.id,
+                delegation.number,
+                delegation.host,
+                "ok" if first else "error",
+                max(0, self.clock.now - delegation.sent_at) / SECOND,
+                True,
+                billed=billed,
+            )
+        )
         return first
 
     def settle(self, uses: Uses | None, call: Call, ending: Ending) -> None:
@@ -151,9 +190,17 @@
 
     def listed(self, news: News) -> None:
         entries = [
-            i.ServerEntry(h.name, h.state, max(1e-6, self.clock.unix(h.started)) if h.started else 0.0,
-                          place(self.kinds, h.kind), place(self.sites, h.site), h.block, h.share)
-            for h in news.hosts]
+            i.ServerEntry(
+                h.name,
+                h.state,
+                max(1e-6, self.clock.unix(h.started)) if h.started else 0.0,
+                place(self.kinds, h.kind),
+                place(self.sites, h.site),
+                h.block,
+                h.share,
+            )
+            for h in news.hosts
+        ]
         self.post(i.ServerList(news.kind, entries, news.version))
 
     # The turn.
@@ -195,8 +242,12 @@
 
     def drop(self, call: Call) -> None:
         """Forget a call that is over on both sides."""
-        if call.over and not call.open_delegations() and self.calls.pop(call.id, None) is not None \
-                and self.traces.get(call.trace) is call:
+        if (
+            call.over
+            and not call.open_delegations()
+            and self.calls.pop(call.id, None) is not None
+            and self.traces.get(call.trace) is call
+        ):
             del self.traces[call.trace]
 
     def late(self, name: str) -> None:
@@ -238,8 +289,7 @@
             call.finish(answer)
 
     def set_timer(self, action: i.SetTimer) -> None:
-        self.timers.set(self.clock.now + max(0, round(action.delay * SECOND)), action.token,
-                        action.request)
+        self.timers.set(self.clock.now + max(0, round(action.delay * SECOND)), action.token, action.request)
 
     def count(self, action: i.Count) -> None:
         self.counter.add(action.name, action.amount, round(action.ttl * SECOND))
--- a/gorsefork/memory/desk.py
+++ b/gorsefork/memory/desk.py
@@ -18,13 +18,17 @@
     ``told``: what is to hear of a ban or a drain too, such as another process of this ingress.
     """
 
-    def __init__(self, duty: Duty, registry: Registry, figures: Figures, avoided: Callable[[], int],
-                 log: Log) -> None:
+    def __init__(
+        self, duty: Duty, registry: Registry, figures: Figures, avoided: Callable[[], int], log: Log
+    ) -> None:
         self.duty, self.registry, self.figures, self.avoided, self.log = duty, registry, figures, avoided, log
         self.told: list[Callable[[str], None]] = []
         self.calls: dict[str, Callable[[], str]] = {
-            "check": self.check, "vars": self.figures_text, "drain-on": lambda: self.send_away(True),
-            "drain-off": lambda: self.send_away(False)}
+            "check": self.check,
+            "vars": self.figures_text,
+            "drain-on": lambda: self.send_away(True),
+            "drain-off": lambda: self.send_away(False),
+        }
 
     def answer(self, line: str) -> str:
         """``+OK`` or ``-ERR`` and a reason, ended by a line feed. A bad call changes nothing."""
--- a/gorsefork/memory/figures.py
+++ b/gorsefork/memory/figures.py
@@ -19,7 +19,8 @@
         self.classes = tuple(classes)
         self.taken, self.relayed = [0] * len(classes), [0] * len(classes)
         self.ended: dict[Kind, list[int]] = {
-            kind: [0] * len(classes) for kind in ("fulfilled", "throttled", "faulted", "gone")}
+            kind: [0] * len(classes) for kind in ("fulfilled", "throttled", "faulted", "gone")
+        }
 
     def open(self) -> int:
         """Requests taken and not ended."""
@@ -27,10 +28,18 @@
 
     def lines(self, entries: int, avoided: int) -> list[str]:
         """One line a figure. ``entries``: backends in the list; ``avoided``: those that get nothing now."""
-        lines = [f"{PREFIX}.{kind}.{name}={count}"
-                 for kind in ("fulfilled", "throttled", "faulted")
-                 for name, count in zip(self.classes, self.ended[kind], strict=True)]
-        lines += [f"{PREFIX}.relayed.{name}={count}"
-                  for name, count in zip(self.classes, self.relayed, strict=True)]
-        return [*lines, f"{PREFIX}.relayed={sum(self.relayed)}", f"{PREFIX}.open_requests={self.open()}",
-                f"{PREFIX}.registry_entries={entries}", f"{PREFIX}.out_of_rotation={avoided}"]
+        lines = [
+            f"{PREFIX}.{kind}.{name}={count}"
+            for kind in ("fulfilled", "throttled", "faulted")
+            for name, count in zip(self.classes, self.ended[kind], strict=True)
+        ]
+        lines += [
+            f"{PREFIX}.relayed.{name}={count}" for name, count in zip(self.classes, self.relayed, strict=True)
+        ]
+        return [
+            *lines,
+            f"{PREFIX}.relayed={sum(self.relayed)}",
+            f"{PREFIX}.open_requests={self.open()}",
+            f"{PREFIX}.registry_entries={entries}",
+            f"{PREFIX}.out_of_rotation={avoided}",
+        ]
--- a/gorsefork/memory/registry.py
+++ b/gorsefork/memory/registry.py
@@ -45,8 +45,12 @@
 class Registry:
     """Actor: takes news from discovery in order, keeps the table and tells the module."""
 
-    def __init__(self, tell: Callable[[News], None], changed: Callable[[Host], None],
-                 now: Callable[[], int] = monotonic_us) -> None:
+    def __init__(
+        self,
+        tell: Callable[[News], None],
+        changed: Callable[[Host], None],
+        now: Callable[[], int] = monotonic_us,
+    ) -> None:
         self.mailbox: Mailbox[News] = Mailbox(64)
         self.hosts: dict[str, Host] = {}
         self.tell, self.changed, self.now = tell, changed, now
--- a/gorsefork/plans/book.py
+++ b/gorsefork/plans/book.py
@@ -135,8 +135,10 @@
 
     def next_boundary(self, customer: str, after: int) -> int | None:
         """When this customer's standing may change next."""
-        return min((time for change in self.of_customer(customer) for time in change.boundaries()
-                    if time > after), default=None)
+        return min(
+            (time for change in self.of_customer(customer) for time in change.boundaries() if time > after),
+            default=None,
+        )
 
     def forgetting(self, horizon: int) -> Book:
         """The book without what is older than ``horizon`` and holds neither then nor later.
@@ -226,5 +228,7 @@
 def held(standing: Standing | None) -> tuple[Number | None, tuple[Number, ...]]:
     if standing is None:
         return None, ()
-    return (standing.entry.number if standing.entry else None,
-            tuple(change.number for change in standing.reservations))
+    return (
+        standing.entry.number if standing.entry else None,
+        tuple(change.number for change in standing.reservations),
+    )
--- a/gorsefork/plans/contracts.py
+++ b/gorsefork/plans/contracts.py
@@ -113,10 +113,15 @@
             return f"act.plan: no plan {act.plan!r} here; there are {', '.join(self.by_name)}"
         if isinstance(act, Reserve):
             standing = self.book.standing(act.customer, act.starts)
-            name = standing.entry.act.plan if standing and standing.entry and isinstance(
-                standing.entry.act, SetPlan) else ""
+            name = (
+                standing.entry.act.plan
+                if standing and standing.entry and isinstance(standing.entry.act, SetPlan)
+                else ""
+            )
             plan = self.by_name.get(name)
             if plan is not None and plan.ceiling_rate > 0.0 and plan.rate + act.rate > plan.ceiling_rate:
-                return (f"act.rate: {plan.rate:g} of plan {plan.name} and {act.rate:g} pass its ceiling of "
-                        f"{plan.ceiling_rate:g} units a second")
+                return (
+                    f"act.rate: {plan.rate:g} of plan {plan.name} and {act.rate:g} pass its ceiling of "
+                    f"{plan.ceiling_rate:g} units a second"
+                )
         return ""
--- a/gorsefork/storage/books.py
+++ b/gorsefork/storage/books.py
@@ -22,8 +22,10 @@
         sql = self.database.sql
         horizon = sql.execute("SELECT value FROM meta WHERE key = 'horizon'").fetchone()
         try:
-            changes = [msgspec.msgpack.decode(body, type=Change) for (body,) in sql.execute(
-                "SELECT body FROM changes ORDER BY stamp, origin")]
+            changes = [
+                msgspec.msgpack.decode(body, type=Change)
+                for (body,) in sql.execute("SELECT body FROM changes ORDER BY stamp, origin")
+            ]
             return Book.replay(changes, int(horizon[0]) if horizon else 0)
         except (msgspec.DecodeError, Refused) as error:
             where = self.database.folder
@@ -32,12 +34,16 @@
     def save(self, changes: Sequence[Change]) -> None:
         """One that is kept already stays as it is."""
         with self.database.transaction("book") as sql:
-            sql.executemany("INSERT OR IGNORE INTO changes VALUES (?, ?, ?)", [
-                (change.stamp, change.origin, msgspec.msgpack.encode(change)) for change in changes])
+            sql.executemany(
+                "INSERT OR IGNORE INTO changes VALUES (?, ?, ?)",
+                [(change.stamp, change.origin, msgspec.msgpack.encode(change)) for change in changes],
+            )
 
     def forget(self, book: Book) -> None:
         with self.database.transaction("forget") as sql:
             sql.execute("DELETE FROM changes")
-            sql.executemany("INSERT INTO changes VALUES (?, ?, ?)", [
-                (change.stamp, change.origin, msgspec.msgpack.encode(change)) for change in book.history()])
+            sql.executemany(
+                "INSERT INTO changes VALUES (?, ?, ?)",
+                [(change.stamp, change.origin, msgspec.msgpack.encode(change)) for change in book.history()],
+            )
             sql.execute("INSERT OR REPLACE INTO meta VALUES ('horizon', ?)", (str(book.horizon),))
--- a/gorsefork/storage/database.py
+++ b/gorsefork/storage/database.py
@@ -58,8 +58,9 @@
         self.folder, self.ingress, self.fault = folder, ingress, fault
         self.lock = self.locked(folder)
         try:
-            self.sql = sqlite3.connect(folder / "state.db", timeout=BUSY_MS / 1000, isolation_level=None,
-                                       check_same_thread=False)
+            self.sql = sqlite3.connect(
+                folder / "state.db", timeout=BUSY_MS / 1000, isolation_level=None, check_same_thread=False
+            )
             try:
                 self.open(sync)
             except BaseException:
@@ -67,8 +68,10 @@
                 raise
         except sqlite3.DatabaseError as error:
             os.close(self.lock)
-            raise BadState(f"state.folder: {folder / 'state.db'} cannot be read ({error}); "
-                           "move it away to begin anew, and keep it for what it holds") from None
+            raise BadState(
+                f"state.folder: {folder / 'state.db'} cannot be read ({error}); "
+                "move it away to begin anew, and keep it for what it holds"
+            ) from None
         except BaseException:
             os.close(self.lock)
             raise
@@ -98,8 +101,9 @@
         elif application != APPLICATION:
             raise BadState(f"state.folder: {file} is no state of this program")
         elif version > FORMAT:
-            raise BadState(f"state.folder: {file} has format {version}, from a newer version; "
-                           f"this one knows {FORMAT}")
+            raise BadState(
+                f"state.folder: {file} has format {version}, from a newer version; this one knows {FORMAT}"
+            )
         else:
             self.configure(sync)
         self.fault("open.created")
@@ -107,8 +111,9 @@
             raise sqlite3.DatabaseError(damage)
         owner = self.sql.execute("SELECT value FROM meta WHERE key = 'ingress'").fetchone()[0]
         if owner != self.ingress:
-            raise BadState(f"state.folder: {self.folder} belongs to ingress {owner}, "
-                           f"and this is {self.ingress}")
+            raise BadState(
+                f"state.folder: {self.folder} belongs to ingress {owner}, and this is {self.ingress}"
+            )
         self.fault("open.checked")
 
     def configure(self, sync: Sync) -> None:
--- a/gorsefork/storage/faults.py
+++ b/gorsefork/storage/faults.py
@@ -6,8 +6,12 @@
 
 TRANSACTIONS = ("life", "append", "acknowledge", "end", "probe", "book", "forget")
 POINTS = (
-    "open.created", "open.checked", "checkpoint.begun", "checkpoint.done",
-    *(f"{name}.{step}" for name in TRANSACTIONS for step in ("begun", "written", "committed")))
+    "open.created",
+    "open.checked",
+    "checkpoint.begun",
+    "checkpoint.done",
+    *(f"{name}.{step}" for name in TRANSACTIONS for step in ("begun", "written", "committed")),
+)
 Fault = Callable[[str], None]
 
 
--- a/gorsefork/storage/recorder.py
+++ b/gorsefork/storage/recorder.py
@@ -51,9 +51,16 @@
     ``suspend`` is told when calls may no longer be taken, and when they may again.
     """
 
-    def __init__(self, shelf: Shelf, clock: Clock, most_waiting: int, names: tuple[list[str], list[str]],
-                 open_calls: Callable[[], int], suspend: Callable[[bool, str], None],
-                 kept: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        shelf: Shelf,
+        clock: Clock,
+        most_waiting: int,
+        names: tuple[list[str], list[str]],
+        open_calls: Callable[[], int],
+        suspend: Callable[[bool, str], None],
+        kept: Callable[[], None],
+    ) -> None:
         self.shelf, self.clock, self.kept = shelf, clock, kept
         self.open_calls, self.suspend = open_calls, suspend
         self.plans, self.classes = names
@@ -64,8 +71,7 @@
 
     def record(self, call: Call, micro: int, then: Callable[[bool], None]) -> None:
         plan = call.contract or self.plans[call.plan]
-        order = Order(call.customer, plan, self.classes[call.cls], micro,
-                      self.clock.unix_us(), then)
+        order = Order(call.customer, plan, self.classes[call.cls], micro, self.clock.unix_us(), then)
         if not self.mailbox.put(order):
             then(False)
 
@@ -81,8 +87,10 @@
             self.look()
 
     async def keep(self, orders: list[Order]) -> None:
-        uses = [Use(self.next + place, order.customer, order.plan, order.cls, order.micro, order.at)
-                for place, order in enumerate(orders)]
+        uses = [
+            Use(self.next + place, order.customer, order.plan, order.cls, order.micro, order.at)
+            for place, order in enumerate(orders)
+        ]
         try:
             await self.shelf.run(lambda: self.shelf.store.append(uses))
         except Unkept as error:
--- a/gorsefork/storage/uses.py
+++ b/gorsefork/storage/uses.py
@@ -45,10 +45,13 @@
     def oldest(self, most: int) -> Batch | None:
         sql = self.database.sql
         for life, acknowledged, last in sql.execute(
-                "SELECT life, acknowledged, last FROM lives ORDER BY life").fetchall():
-            rows = sql.execute("""SELECT number, customer, plan, class, micro, at FROM uses
+            "SELECT life, acknowledged, last FROM lives ORDER BY life"
+        ).fetchall():
+            rows = sql.execute(
+                """SELECT number, customer, plan, class, micro, at FROM uses
                 WHERE life = ? AND number > ? ORDER BY number LIMIT ?""",
-                               (life, acknowledged, most)).fetchall()
+                (life, acknowledged, most),
+            ).fetchall()
             closed = last is not None and acknowledged + len(rows) >= last
             if rows or closed:
                 uses = tuple(Use(*row) for row in rows)
@@ -60,11 +63,11 @@
         try:
             with self.database.transaction("acknowledge") as sql:
                 gone = sql.execute("DELETE FROM uses WHERE life = ? AND number <= ?", (life, upto)).rowcount
-                sql.execute("UPDATE lives SET acknowledged = max(acknowledged, ?) WHERE life = ?",
-                            (upto, life))
+                sql.execute(
+                    "UPDATE lives SET acknowledged = max(acknowledged, ?) WHERE life = ?", (upto, life)
+                )
                 if closed:
-                    sql.execute("DELETE FROM lives WHERE life = ? AND acknowledged >= last",
-                                (life,))
+                    sql.execute("DELETE FROM lives WHERE life = ? AND acknowledged >= last", (life,))
         except WriteFailed as error:
             raise Unkept(str(error)) from None
         self.count -= gone
@@ -82,7 +85,10 @@
     def end(self) -> None:
         try:
             with self.database.transaction("end") as sql:
-                sql.execute("""UPDATE lives SET last = max(acknowledged, coalesce(
-                    (SELECT max(number) FROM uses WHERE life = ?1), 0)) WHERE life = ?1""", (self.life,))
+                sql.execute(
+                    """UPDATE lives SET last = max(acknowledged, coalesce(
+                    (SELECT max(number) FROM uses WHERE life = ?1), 0)) WHERE life = ?1""",
+                    (self.life,),
+                )
         except WriteFailed as error:
             raise Unkept(str(error)) from None
--- a/gorsefork/usage/verify.py
+++ b/gorsefork/usage/verify.py
@@ -44,9 +44,16 @@
         return self.last is not None and len(self.uses) == self.last
 
     def plain(self) -> dict[str, Any]:
-        return {"ingress": self.ingress, "life": self.life, "records": self.records,
-                "units": self.micro / MILLION, "repeats": self.repeats, "missing": self.missing,
-                "contradictions": self.contradictions, "closed": self.last is not None}
+        return {
+            "ingress": self.ingress,
+            "life": self.life,
+            "records": self.records,
+            "units": self.micro / MILLION,
+            "repeats": self.repeats,
+            "missing": self.missing,
+            "contradictions": self.contradictions,
+            "closed": self.last is not None,
+        }
 
 
 class Ledger:
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -45,8 +45,17 @@
 AWAY_FROM, AWAY_BY = 350_000, 1_250_000
 AWAY_FRESH = 250_000  # us that a connection made meanwhile may stay silent
 
-BROKEN_ON_ITS_WAY = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENETUNREACH,
-                               errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENOPROTOOPT))  # accept(2)
+BROKEN_ON_ITS_WAY = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENOPROTOOPT,
+    )
+)  # accept(2)
 
 NO_CALL = frozenset((400, 404, 405, 409, 413, 431, 501, 505))  # the client's fault, whosever token it had
 
@@ -240,8 +249,12 @@
                     self.reject(fault)
                     return
                 self.exchange = exchange = Exchange(
-                    event.method.decode("ascii"), event.target.decode("latin-1"), headers,
-                    self.acceptor.clock.now, lambda answer: None)
+                    event.method.decode("ascii"),
+                    event.target.decode("latin-1"),
+                    headers,
+                    self.acceptor.clock.now,
+                    lambda answer: None,
+                )
                 exchange.reply = lambda answer, exchange=exchange: self.reply(exchange, answer)  # type: ignore[misc]
             elif isinstance(event, h11.Data) and self.exchange is not None:
                 self.body(self.exchange, event.data)
@@ -320,8 +333,11 @@
         if last:
             headers.append((b"Connection", b"close"))
         head = exchange.method == "HEAD"
-        self.write(h11.Response(status_code=status, headers=headers),
-                   *([h11.Data(body)] if body and not head else []), h11.EndOfMessage())
+        self.write(
+            h11.Response(status_code=status, headers=headers),
+            *([h11.Data(body)] if body and not head else []),
+            h11.EndOfMessage(),
+        )
         self.answered(last)
 
     def answered(self, last: bool) -> None:
@@ -350,8 +366,9 @@
             headers.append((b"Content-Length", str(answer.length).encode()))
         if last:
             headers.append((b"Connection", b"close"))
-        self.unsent_head = self.http.send_with_data_passthrough(
-            h11.Response(status_code=200, headers=headers)) or []
+        self.unsent_head = (
+            self.http.send_with_data_passthrough(h11.Response(status_code=200, headers=headers)) or []
+        )
         self.pouring, self.closes = True, last
         answer.sink = self
 
@@ -448,8 +465,15 @@
 class Acceptor:
     """Listens for one front. At the bounds on connections the one idle for longest gives way."""
 
-    def __init__(self, listen: str, front: Front, clock: Clock, most: int, most_idle: int = 0,
-                 inherited: int | None = None) -> None:
+    def __init__(
+        self,
+        listen: str,
+        front: Front,
+        clock: Clock,
+        most: int,
+        most_idle: int = 0,
+        inherited: int | None = None,
+    ) -> None:
         self.front, self.clock, self.most = front, clock, most
         self.most_idle = most_idle or most
         self.connections: set[ClientConnection] = set()
@@ -572,8 +596,11 @@
             if not self.idle and not self.heads:
                 return False
             connection = self.first_to_go()
-            if not newcomers and not connection.served \
-                    and self.idle.get(connection, 0) + FRESH > self.clock.now:
+            if (
+                not newcomers
+                and not connection.served
+                and self.idle.get(connection, 0) + FRESH > self.clock.now
+            ):
                 return False  # many that come at once have not had the time to ask
             connection.close_if_idle()
             if connection.last:
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -67,8 +67,9 @@
         return found if isinstance(found, Ending) else await self.long(delegation, *found)
 
     async def send(self, *events: h11.Event) -> None:
-        await self.stream.send([part for event in events
-                                for part in self.http.send_with_data_passthrough(event) or ()])
+        await self.stream.send(
+            [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
+        )
 
     async def upload(self, flow: Flow) -> None:
         """A body as it comes: a little of it is held at a time."""
@@ -103,7 +104,6 @@
             else:
                 return Ending("reset")
 
-
     def rest(self) -> None:
         """Behind a whole answer: whether this connection may carry another delegation."""
         self.clean = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
@@ -159,15 +159,20 @@
     """Whether the answer can't be passed on: its body is over the bound, or it has two lengths."""
     sizes = [value for name, value in head.headers if name == b"content-length"]
     return any(int(size) > MOST_BODY for size in sizes) or (
-        bool(sizes) and any(name == b"transfer-encoding" for name, _ in head.headers))
+        bool(sizes) and any(name == b"transfer-encoding" for name, _ in head.headers)
+    )
 
 
 def ending(head: h11.Response, body: bytes) -> Ending:
     """What an answer means. Only ``X-Never-Ran`` proves that it never ran: a bare 503 proves nothing."""
     headers = {bytes(name): bytes(value) for name, value in head.headers}
     if head.status_code == 200:
-        return Ending("ok", body, headers.get(b"content-type", b"").decode("latin-1"),
-                      settled(headers.get(b"x-settled", b"")))
+        return Ending(
+            "ok",
+            body,
+            headers.get(b"content-type", b"").decode("latin-1"),
+            settled(headers.get(b"x-settled", b"")),
+        )
     if head.status_code in (503, 504) and headers.get(b"x-never-ran") == b"1":
         return Ending("full")
     return Ending("error")
@@ -299,9 +304,16 @@
 class BackendPool:
     """The actors of all backends, and the bound on what they hold open together."""
 
-    def __init__(self, clock: Clock, registry: Registry, ended: Callable[[Delegation, Ending], None],
-                 keepalive: float, connect_timeout: float, most_links: int,
-                 opened: Callable[[Delegation, Long, float], Awaitable[bool]]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        registry: Registry,
+        ended: Callable[[Delegation, Ending], None],
+        keepalive: float,
+        connect_timeout: float,
+        most_links: int,
+        opened: Callable[[Delegation, Long, float], Awaitable[bool]],
+    ) -> None:
         self.clock, self.registry, self.ended, self.opened = clock, registry, ended, opened
         self.idle_for, self.connect_timeout = round(keepalive * RETIRE_SHARE * SECOND), connect_timeout
         self.most_links, self.links, self.pouring = most_links, 0, 0
--- a/gorsefork/wire/datagrams.py
+++ b/gorsefork/wire/datagrams.py
@@ -18,8 +18,15 @@
 class PeerSocket:
     """Messages to and from ``peers``, by their numbers; ``peers_all`` reaches every one."""
 
-    def __init__(self, listen: str, peers: Sequence[str], everyone: str, me: int,
-                 post: Callable[[PeerMessage], None], shared: bool = False) -> None:
+    def __init__(
+        self,
+        listen: str,
+        peers: Sequence[str],
+        everyone: str,
+        me: int,
+        post: Callable[[PeerMessage], None],
+        shared: bool = False,
+    ) -> None:
         self.post, self.me, self.here = post, me, address(listen)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
--- a/gorsefork/wire/directory.py
+++ b/gorsefork/wire/directory.py
@@ -22,8 +22,9 @@
 class DirectoryTenants:
     """The library waits, so it does that in a thread. Fails closed: a doubt is ``TenantsUnavailable``."""
 
-    def __init__(self, given: Directory, plans: Mapping[str, int], ingresses: int,
-                 log: Callable[[str], None]) -> None:
+    def __init__(
+        self, given: Directory, plans: Mapping[str, int], ingresses: int, log: Callable[[str], None]
+    ) -> None:
         self.given, self.plans, self.ingresses, self.log = given, plans, ingresses, log
         self.threads = trio.CapacityLimiter(given.most_in_flight)
 
@@ -32,8 +33,9 @@
             return None
         if self.threads.available_tokens < 1:
             raise TenantsUnavailable("too many lookups out")
-        search = partial(trio.to_thread.run_sync, self.search, name,
-                         abandon_on_cancel=True, limiter=self.threads)
+        search = partial(
+            trio.to_thread.run_sync, self.search, name, abandon_on_cancel=True, limiter=self.threads
+        )
         try:
             with trio.fail_after(max(0.0, min(self.given.timeout_ms / 1000, within))):
                 found = await search()
@@ -51,14 +53,32 @@
         given = self.given
         host, port = address(given.address)
         server = ldap3.Server(host, port, get_info=ldap3.NONE, connect_timeout=SOCKET_SECONDS)
-        with ldap3.Connection(server, given.bind_dn, given.password, receive_timeout=SOCKET_SECONDS,
-                              raise_exceptions=True, auto_referrals=False, read_only=True) as connection:
-            wanted = [given.plan_attribute, given.customer_attribute, given.spread_attribute,
-                      given.first_attribute]
-            connection.search(given.base, f"({given.name_attribute}={escape_filter_chars(name)})",
-                              attributes=[attribute for attribute in wanted if attribute], size_limit=2)
-            return [entry["raw_attributes"] for entry in connection.response or ()
-                    if entry["type"] == "searchResEntry"]
+        with ldap3.Connection(
+            server,
+            given.bind_dn,
+            given.password,
+            receive_timeout=SOCKET_SECONDS,
+            raise_exceptions=True,
+            auto_referrals=False,
+            read_only=True,
+        ) as connection:
+            wanted = [
+                given.plan_attribute,
+                given.customer_attribute,
+                given.spread_attribute,
+                given.first_attribute,
+            ]
+            connection.search(
+                given.base,
+                f"({given.name_attribute}={escape_filter_chars(name)})",
+                attributes=[attribute for attribute in wanted if attribute],
+                size_limit=2,
+            )
+            return [
+                entry["raw_attributes"]
+                for entry in connection.response or ()
+                if entry["type"] == "searchResEntry"
+            ]
 
     def tenant(self, entry: Mapping[str, Any]) -> Tenant:
         def one(attribute: str, default: str) -> str:
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -49,9 +49,16 @@
 def read_host(entry: Mapping[str, Any], clock: Clock) -> Host:
     born = int(entry.get("born_ms", 0))
     address(entry["dial"])  # one that cannot be dialled is found here, not at the first send
-    return Host(str(entry["host"]), str(entry["dial"]), STATES[entry["health"]],
-                clock.from_unix_ms(born) if born else 0, str(entry.get("site", "")),
-                str(entry.get("class", "")), int(entry.get("block", 0)), float(entry.get("share", 1.0)))
+    return Host(
+        str(entry["host"]),
+        str(entry["dial"]),
+        STATES[entry["health"]],
+        clock.from_unix_ms(born) if born else 0,
+        str(entry.get("site", "")),
+        str(entry.get("class", "")),
+        int(entry.get("block", 0)),
+        float(entry.get("share", 1.0)),
+    )
 
 
 class DiscoveryWatch:
@@ -61,8 +68,9 @@
     agent on this machine: that answers at no cost, and what it has counts as told, whenever it is asked.
     """
 
-    def __init__(self, dial: str, registry: Registry, clock: Clock, version: int,
-                 rng: random.Random, fleet: int = 1) -> None:
+    def __init__(
+        self, dial: str, registry: Registry, clock: Clock, version: int, rng: random.Random, fleet: int = 1
+    ) -> None:
         most = min(ASK_WITHIN, max(PAUSE_MOST, PAUSE_MOST_EACH * fleet)) if fleet else AGENT_PAUSE
         self.backoff = Backoff(min(most, max(PAUSE, PAUSE_EACH * fleet)), most, rng)
         self.rng, self.agent = rng, not fleet
--- a/gorsefork/wire/fronts/control.py
+++ b/gorsefork/wire/fronts/control.py
@@ -72,8 +72,12 @@
 def row(customer: str, standing: Standing | None) -> dict[str, Any]:
     if standing is None:
         return {"customer": customer, "entry": None, "reservations": [], "since": None}
-    return {"customer": customer, "entry": shown(standing.entry), "since": standing.since,
-            "reservations": [shown(change) for change in standing.reservations]}
+    return {
+        "customer": customer,
+        "entry": shown(standing.entry),
+        "since": standing.since,
+        "reservations": [shown(change) for change in standing.reservations],
+    }
 
 
 def shown(change: Change | None) -> dict[str, Any] | None:
@@ -102,23 +106,42 @@
 
     whole_seconds, passes = True, False
 
-    def __init__(self, keeper: Keeper, secret: str, now: Callable[[], int],
-                 status: Callable[[], dict[str, Any]], usage: Callable[[], dict[str, Any]],
-                 export: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        keeper: Keeper,
+        secret: str,
+        now: Callable[[], int],
+        status: Callable[[], dict[str, Any]],
+        usage: Callable[[], dict[str, Any]],
+        export: Callable[[], None],
+    ) -> None:
         self.keeper, self.secret, self.now = keeper, secret.encode(), now
         self.tell_status, self.tell_usage, self.export_now = status, usage, export
         self.waiting = 0
         self.start: Callable[[Callable[[], Awaitable[None]]], None]
         self.routes: dict[tuple[str, str], Handler] = {
-            ("GET", "status"): self.status, ("GET", "plans"): self.plans, ("GET", "plans/*"): self.plan,
-            ("GET", "changes"): self.changes, ("GET", "changes/*"): self.change,
-            ("POST", "changes"): self.make, ("PUT", "changes/*"): self.put, ("GET", "diff"): self.diff,
-            ("GET", "feed"): self.feed, ("GET", "usage"): self.usage, ("POST", "usage/export"): self.export}
+            ("GET", "status"): self.status,
+            ("GET", "plans"): self.plans,
+            ("GET", "plans/*"): self.plan,
+            ("GET", "changes"): self.changes,
+            ("GET", "changes/*"): self.change,
+            ("POST", "changes"): self.make,
+            ("PUT", "changes/*"): self.put,
+            ("GET", "diff"): self.diff,
+            ("GET", "feed"): self.feed,
+            ("GET", "usage"): self.usage,
+            ("POST", "usage/export"): self.export,
+        }
 
     def begin(self, exchange: Exchange) -> None:
         if not self.allowed(exchange.headers.get(b"authorization", b"")):
-            exchange.reply(problem(401, "the bearer key of this listener is needed",
-                                   ("WWW-Authenticate", 'Bearer realm="gorsefork"')))
+            exchange.reply(
+                problem(
+                    401,
+                    "the bearer key of this listener is needed",
+                    ("WWW-Authenticate", 'Bearer realm="gorsefork"'),
+                )
+            )
             return
         path, _, query = exchange.target.partition("?")
         parts = [unquote(part) for part in path.split("/")[1:]]
@@ -126,18 +149,24 @@
             exchange.reply(problem(404, f"no such call: {path}"))
             return
         routes = ["/".join(parts[1:])] + (["/".join([*parts[1:-1], "*"])] if len(parts) > 2 else [])
-        handlers = {method: (self.routes[method, route], route) for route in reversed(routes)
-                    for method in ("GET", "POST", "PUT") if (method, route) in self.routes}
+        handlers = {
+            method: (self.routes[method, route], route)
+            for route in reversed(routes)
+            for method in ("GET", "POST", "PUT")
+            if (method, route) in self.routes
+        }
         if not handlers:
             exchange.reply(problem(404, f"no such call: {path}"))
         elif exchange.method not in handlers:
-            exchange.reply(problem(405, f"{path} takes {', '.join(handlers)}",
-                                   ("Allow", ", ".join(handlers))))
+            exchange.reply(
+                problem(405, f"{path} takes {', '.join(handlers)}", ("Allow", ", ".join(handlers)))
+            )
         else:
             handler, route = handlers[exchange.method]
             pairs = parse_qsl(query, keep_blank_values=True)
-            asked = Asked(dict(pairs), bytes(exchange.body), exchange.text(b"idempotency-key"),
-                          exchange.text(b"accept"))
+            asked = Asked(
+                dict(pairs), bytes(exchange.body), exchange.text(b"idempotency-key"), exchange.text(b"accept")
+            )
             if len(asked.query) < len(pairs):
                 exchange.reply(problem(400, "a parameter stands twice"))
                 return
@@ -188,8 +217,12 @@
         page, book = msgspec.convert(asked.query, At, strict=False), self.keeper.book
         name = msgspec.convert(customer, Customer)
         at = page.at or self.now()
-        return {"at": at, **row(name, book.standing(name, at)), "next": book.next_boundary(name, at),
-                "history": [shown(change) for change in book.history(name)]}
+        return {
+            "at": at,
+            **row(name, book.standing(name, at)),
+            "next": book.next_boundary(name, at),
+            "history": [shown(change) for change in book.history(name)],
+        }
 
     async def changes(self, asked: Asked) -> Any:
         page = msgspec.convert(asked.query, At, strict=False)
@@ -225,8 +258,10 @@
         old = book.at_number(self.keeper.number(span.since)) if span.since else Book()
         new = book.at_number(self.keeper.number(span.to)) if span.to else book
         at = span.at or self.now()
-        rows = [{"customer": name, "before": row(name, before), "after": row(name, after)}
-                for name, before, after in differences(old, new, at)]
+        rows = [
+            {"customer": name, "before": row(name, before), "after": row(name, after)}
+            for name, before, after in differences(old, new, at)
+        ]
         return {"at": at, "customers": rows[:MOST_ROWS], "more": len(rows) > MOST_ROWS}
 
     async def feed(self, asked: Asked) -> Any:
--- a/gorsefork/wire/fronts/fleet_calls.py
+++ b/gorsefork/wire/fronts/fleet_calls.py
@@ -55,9 +55,13 @@
     def __init__(self, link: Link) -> None:
         self.link, self.watching = link, 0
         self.routes: dict[tuple[str, str], Handler] = {
-            ("GET", "fleet"): self.status, ("GET", "fleet/members"): self.members,
-            ("GET", "fleet/watch"): self.watch, ("GET", "fleet/order"): self.order,
-            ("POST", "fleet/forget"): self.forget, ("PUT", "fleet/settings"): self.settings}
+            ("GET", "fleet"): self.status,
+            ("GET", "fleet/members"): self.members,
+            ("GET", "fleet/watch"): self.watch,
+            ("GET", "fleet/order"): self.order,
+            ("POST", "fleet/forget"): self.forget,
+            ("PUT", "fleet/settings"): self.settings,
+        }
 
     async def status(self, asked: Call) -> Any:
         self.bare(asked)
--- a/gorsefork/wire/http1/client.py
+++ b/gorsefork/wire/http1/client.py
@@ -40,8 +40,15 @@
     def __repr__(self) -> str:
         return f"HttpClient({self.dial!r})"
 
-    async def ask(self, method: str, target: str, body: bytes = b"", media: str = "", within: float = 2.0,
-                  headers: tuple[tuple[str, str], ...] = ()) -> Response:
+    async def ask(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        media: str = "",
+        within: float = 2.0,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> Response:
         """The whole answer. ``NoAnswer`` if none comes ``within`` so many seconds.
 
         A wait that is cancelled closes the connection: its answer would pass for the next one's.
@@ -63,14 +70,26 @@
         except (OSError, h11.ProtocolError, trio.ClosedResourceError) as error:
             raise NoAnswer(f"{self.dial}: {type(error).__name__}: {error}") from None
 
-    async def round(self, stream: Stream, http: h11.Connection, method: str, target: str, body: bytes,
-                    media: str, given: tuple[tuple[str, str], ...], kept: bool) -> Response:
+    async def round(
+        self,
+        stream: Stream,
+        http: h11.Connection,
+        method: str,
+        target: str,
+        body: bytes,
+        media: str,
+        given: tuple[tuple[str, str], ...],
+        kept: bool,
+    ) -> Response:
         self.kept = None
         headers = [("Host", self.dial), ("Content-Length", str(len(body))), *given]
         headers += [("Content-Type", media)] if media else []
         headers += [("Authorization", self.authorization)] if self.authorization else []
-        events = (h11.Request(method=method, target=target, headers=headers),
-                  *([h11.Data(body)] if body else []), h11.EndOfMessage())
+        events = (
+            h11.Request(method=method, target=target, headers=headers),
+            *([h11.Data(body)] if body else []),
+            h11.EndOfMessage(),
+        )
         parts = [part for event in events for part in http.send_with_data_passthrough(event) or ()]
         clean = False
         try:
@@ -84,8 +103,9 @@
                 stream.close()
         return response
 
-    async def converse(self, stream: Stream, http: h11.Connection, parts: list[bytes],
-                       kept: bool) -> Response:
+    async def converse(
+        self, stream: Stream, http: h11.Connection, parts: list[bytes], kept: bool
+    ) -> Response:
         head: h11.Response | None = None
         body, heard = bytearray(), False
         try:
--- a/gorsefork/wire/http2/goaway.py
+++ b/gorsefork/wire/http2/goaway.py
@@ -44,12 +44,12 @@
         while at < len(data):
             if self.passing:
                 size = min(self.passing, len(data) - at)
-                through += data[at: at + size]
+                through += data[at : at + size]
                 at, self.passing = at + size, self.passing - size
                 continue
             if len(data) - at < HEAD:
                 break
-            size = int.from_bytes(data[at: at + 3], "big")
+            size = int.from_bytes(data[at : at + 3], "big")
             if data[at + 3] != KIND:
                 self.passing = HEAD + size
                 continue
@@ -57,7 +57,7 @@
                 raise BadGoAway(0x6, f"GOAWAY of {size} bytes")
             if len(data) - at < HEAD + size:
                 break
-            found.append(self.read(data[at: at + HEAD + size]))
+            found.append(self.read(data[at : at + HEAD + size]))
             at += HEAD + size
         self.held = data[at:]
         return bytes(through), found
--- a/gorsefork/wire/http2/session.py
+++ b/gorsefork/wire/http2/session.py
@@ -97,11 +97,16 @@
         config = h2.config.H2Configuration(client_side=False, header_encoding=None)
         self.h2 = h2.connection.H2Connection(config)
         codes = h2.settings.SettingCodes
-        self.h2.local_settings = h2.settings.Settings(client=False, initial_values={
-            codes.MAX_CONCURRENT_STREAMS: self.bounds.streams,
-            codes.INITIAL_WINDOW_SIZE: self.bounds.stream_window,
-            codes.MAX_HEADER_LIST_SIZE: self.bounds.header_list,
-            codes.MAX_FRAME_SIZE: self.bounds.frame, codes.ENABLE_PUSH: 0})
+        self.h2.local_settings = h2.settings.Settings(
+            client=False,
+            initial_values={
+                codes.MAX_CONCURRENT_STREAMS: self.bounds.streams,
+                codes.INITIAL_WINDOW_SIZE: self.bounds.stream_window,
+                codes.MAX_HEADER_LIST_SIZE: self.bounds.header_list,
+                codes.MAX_FRAME_SIZE: self.bounds.frame,
+                codes.ENABLE_PUSH: 0,
+            },
+        )
         self.budget = FrameBudget()
         self.h2.decoder.max_header_list_size = self.bounds.header_list  # from the first byte on
         self.over = False
--- a/gorsefork/wire/introspection.py
+++ b/gorsefork/wire/introspection.py
@@ -125,9 +125,18 @@
 
     whole_seconds, passes = True, False
 
-    def __init__(self, settings: i.Settings, gate: Gate, tenants: Tenants, claim: str, max_age_ms: int,
-                 clock: Clock, take: Callable[[Call], None], gone: Callable[[Call], None],
-                 ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        settings: i.Settings,
+        gate: Gate,
+        tenants: Tenants,
+        claim: str,
+        max_age_ms: int,
+        clock: Clock,
+        take: Callable[[Call], None],
+        gone: Callable[[Call], None],
+        ready: Callable[[], bool],
+    ) -> None:
         self.settings, self.gate, self.tenants, self.claim = settings, gate, tenants, claim
         self.max_age, self.clock = max_age_ms * 1000, clock
         self.take, self.gone, self.ready = take, gone, ready
@@ -187,8 +196,9 @@
                 return
             self.admitted(exchange, order, verdict, tenant, began)
 
-    def admitted(self, exchange: Exchange, order: Order, claims: Claims, tenant: Tenant | None,
-                 checked_at: int) -> None:
+    def admitted(
+        self, exchange: Exchange, order: Order, claims: Claims, tenant: Tenant | None, checked_at: int
+    ) -> None:
         if exchange.answered:
             return
         if tenant is None:
@@ -199,11 +209,26 @@
             return
         cls, permit = self.settings.classes[order.cls], None
         if cls.effect != "repeatable":
-            permit = TokenPermit(self.gate, self.clock, order.token, cls.name, self.max_age, checked_at,
-                                 claims.expires)
+            permit = TokenPermit(
+                self.gate, self.clock, order.token, cls.name, self.max_age, checked_at, claims.expires
+            )
         call = Call(
-            f"t{next(IDS):x}", exchange.method, exchange.target, bytes(exchange.body), order.trace,
-            exchange.text(b"idempotency-key"), order.cls, tenant.plan, tenant.customer, order.units,
-            tenant.spread, tenant.first, exchange.came_at, order.ends_at, exchange.reply, permit=permit)
+            f"t{next(IDS):x}",
+            exchange.method,
+            exchange.target,
+            bytes(exchange.body),
+            order.trace,
+            exchange.text(b"idempotency-key"),
+            order.cls,
+            tenant.plan,
+            tenant.customer,
+            order.units,
+            tenant.spread,
+            tenant.first,
+            exchange.came_at,
+            order.ends_at,
+            exchange.reply,
+            permit=permit,
+        )
         exchange.call, exchange.left = call, lambda: self.gone(call)
         self.take(call)
--- a/gorsefork/wire/introspection_client.py
+++ b/gorsefork/wire/introspection_client.py
@@ -30,8 +30,17 @@
 class IntrospectionClient:
     """Asks for each check anew: no answer is kept. ``most`` bounds the checks out, and so the sockets."""
 
-    def __init__(self, address: str, path: str, client_id: str, secret: str, timeout: float, most: int,
-                 clock: Clock, log: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        address: str,
+        path: str,
+        client_id: str,
+        secret: str,
+        timeout: float,
+        most: int,
+        clock: Clock,
+        log: Callable[[str], None],
+    ) -> None:
         self.address, self.path, self.timeout, self.most = address, path, timeout, most
         pair = f"{quote_plus(client_id)}:{quote_plus(secret)}".encode()
         self.authorization = "Basic " + base64.b64encode(pair).decode("ascii")
@@ -96,14 +105,26 @@
             else:
                 stream.close()
 
-    async def post(self, stream: Stream, http: h11.Connection, token: str,
-                   kept: bool) -> tuple[int, str, bytes]:
+    async def post(
+        self, stream: Stream, http: h11.Connection, token: str, kept: bool
+    ) -> tuple[int, str, bytes]:
         form = urlencode({"token": token, "token_type_hint": "access_token"}).encode("ascii")
-        head = h11.Request(method="POST", target=self.path, headers=[
-            ("Host", self.address), ("Authorization", self.authorization), ("Accept", "application/json"),
-            ("Content-Type", "application/x-www-form-urlencoded"), ("Content-Length", str(len(form)))])
-        parts = [part for event in (head, h11.Data(form), h11.EndOfMessage())
-                 for part in http.send_with_data_passthrough(event) or ()]
+        head = h11.Request(
+            method="POST",
+            target=self.path,
+            headers=[
+                ("Host", self.address),
+                ("Authorization", self.authorization),
+                ("Accept", "application/json"),
+                ("Content-Type", "application/x-www-form-urlencoded"),
+                ("Content-Length", str(len(form))),
+            ],
+        )
+        parts = [
+            part
+            for event in (head, h11.Data(form), h11.EndOfMessage())
+            for part in http.send_with_data_passthrough(event) or ()
+        ]
         response: h11.Response | None = None
         body, heard = bytearray(), False
         try:
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -33,8 +33,14 @@
 
     whole_seconds, passes = False, True
 
-    def __init__(self, settings: i.Settings, take: Callable[[Call], None], gone: Callable[[Call], None],
-                 ready: Callable[[], bool], healthy: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        settings: i.Settings,
+        take: Callable[[Call], None],
+        gone: Callable[[Call], None],
+        ready: Callable[[], bool],
+        healthy: Callable[[], bool],
+    ) -> None:
         self.take, self.gone, self.ready, self.healthy = take, gone, ready, healthy
         self.reader = CallReader(settings)
 
@@ -90,11 +96,25 @@
         # What is passed on has its time from its last byte; until then the upload's own bounds hold.
         ends_at = exchange.came_at + left_ms * 1000 + (0 if exchange.flow is None else UPLOAD_MOST)
         return Call(
-            f"{next(IDS):x}", exchange.method, exchange.target, bytes(exchange.body), trace,
-            exchange.text(b"idempotency-key"), cls, plan, customer.lower(), self.units(values),
-            whole(spread, 1, ingresses), whole(first, 0, ingresses - 1),
-            exchange.came_at, ends_at, exchange.reply, exchange.text(b"x-second-try") == "1",
-            flow=exchange.flow, left=left_ms * 1000)
+            f"{next(IDS):x}",
+            exchange.method,
+            exchange.target,
+            bytes(exchange.body),
+            trace,
+            exchange.text(b"idempotency-key"),
+            cls,
+            plan,
+            customer.lower(),
+            self.units(values),
+            whole(spread, 1, ingresses),
+            whole(first, 0, ingresses - 1),
+            exchange.came_at,
+            ends_at,
+            exchange.reply,
+            exchange.text(b"x-second-try") == "1",
+            flow=exchange.flow,
+            left=left_ms * 1000,
+        )
 
     def units(self, values: Mapping[str, str]) -> float:
         """Guards against a client that draws a customer's quota empty with one request."""
--- a/gorsefork/wire/services/accounts.py
+++ b/gorsefork/wire/services/accounts.py
@@ -44,8 +44,9 @@
 class Exporter:
     """Actor. Sends the oldest that is not acknowledged, and the next when that is; never drops any."""
 
-    def __init__(self, at: AccountsAt, shelf: Shelf, clock: Clock, log: Log, seed: int,
-                 changed: Callable[[], None]) -> None:
+    def __init__(
+        self, at: AccountsAt, shelf: Shelf, clock: Clock, log: Log, seed: int, changed: Callable[[], None]
+    ) -> None:
         self.at, self.shelf, self.clock, self.log, self.changed = at, shelf, clock, log, changed
         self.client = HttpClient(at.dial, at.authorization, most_body=65536)
         self.shipping = Shipping(at.most, at.flush_us, random.Random(seed))
@@ -106,12 +107,22 @@
         self.shipping.problem = fault or self.shipping.problem
         if verdict == "kept":
             self.changed()
-            self.log(f"accounts have all up to {upto} of life {batch.life}", event="usage.acknowledged",
-                     life=batch.life, upto=upto, waiting=self.shelf.store.waiting())
+            self.log(
+                f"accounts have all up to {upto} of life {batch.life}",
+                event="usage.acknowledged",
+                life=batch.life,
+                upto=upto,
+                waiting=self.shelf.store.waiting(),
+            )
             self.shipping.recorded(max(1, self.shelf.store.waiting()), self.clock.now)
         elif verdict != self.state:
-            self.log(self.shipping.problem, event=f"usage.{verdict}", life=batch.life, first=batch.first,
-                     status=status)
+            self.log(
+                self.shipping.problem,
+                event=f"usage.{verdict}",
+                life=batch.life,
+                first=batch.first,
+                status=status,
+            )
         self.state = verdict
         return verdict == "kept"
 
--- a/gorsefork/wire/services/fellows.py
+++ b/gorsefork/wire/services/fellows.py
@@ -26,8 +26,15 @@
     """One task a fellow. What a fellow tells that cannot be read is a fault of that fellow alone. Those of
     the file stay; others come and go with the fleet's view."""
 
-    def __init__(self, dials: Sequence[str], authorization: str, clock: Clock, seed: int,
-                 learn: Callable[[Sequence[Change]], Awaitable[str]], log: Log) -> None:
+    def __init__(
+        self,
+        dials: Sequence[str],
+        authorization: str,
+        clock: Clock,
+        seed: int,
+        learn: Callable[[Sequence[Change]], Awaitable[str]],
+        log: Log,
+    ) -> None:
         self.fixed = tuple(dials)
         self.followers = [Follower(dial) for dial in dials]
         self.scopes: dict[str, trio.CancelScope] = {}
@@ -78,8 +85,12 @@
             problem = await self.ask(client, follower)
             if problem:
                 if not follower.problem:
-                    self.log(f"{follower.dial}: {problem}", event="fellow.unheard", fellow=follower.dial,
-                             reason=problem)
+                    self.log(
+                        f"{follower.dial}: {problem}",
+                        event="fellow.unheard",
+                        fellow=follower.dial,
+                        reason=problem,
+                    )
                 follower.failed(problem, self.clock.now, self.rng.random())
             elif before != "current":
                 self.log(f"{follower.dial} is heard", event="fellow.heard", fellow=follower.dial)
@@ -91,8 +102,9 @@
         wait_ms = WAIT_MS if follower.heard_at is not None and not follower.problem else 0
         query = urlencode({"life": follower.life, "after": follower.position, "wait_ms": wait_ms})
         try:
-            answer = await client.ask("GET", f"/v1/feed?{query}", within=wait_ms / 1000 + PATIENCE,
-                                      headers=(("Accept", MEDIA),))
+            answer = await client.ask(
+                "GET", f"/v1/feed?{query}", within=wait_ms / 1000 + PATIENCE, headers=(("Accept", MEDIA),)
+            )
             if answer.status != 200:
                 return f"answered {answer.status}"
             page = msgspec.msgpack.decode(answer.body, type=Page)
--- a/gorsefork/wire/services/fleet_link.py
+++ b/gorsefork/wire/services/fleet_link.py
@@ -92,8 +92,16 @@
 class FleetLink:
     """``changed`` is called after each change of who is seen. Cancelled, it leaves without a goodbye."""
 
-    def __init__(self, core: Membership, sock: socket.socket, clock: Clock, log: Log, shelf: Shelf | None,
-                 changed: Callable[[], None], given: Settings) -> None:
+    def __init__(
+        self,
+        core: Membership,
+        sock: socket.socket,
+        clock: Clock,
+        log: Log,
+        shelf: Shelf | None,
+        changed: Callable[[], None],
+        given: Settings,
+    ) -> None:
         self.core, self.sock, self.clock, self.log, self.shelf = core, sock, clock, log, shelf
         self.changed, self.given = changed, given
         self.rearmed = trio.Event()
@@ -108,8 +116,12 @@
         return named(self.sock)
 
     async def run(self) -> None:
-        self.log(f"looks for the fleet from {self.where}", event="fleet.begun", listen=self.where,
-                 life=self.core.life)
+        self.log(
+            f"looks for the fleet from {self.where}",
+            event="fleet.begun",
+            listen=self.where,
+            life=self.core.life,
+        )
         self.flush()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.hear)
@@ -169,8 +181,13 @@
         for event in events:
             self.number += 1
             self.told.append(Told(self.number, self.clock.unix_us(), event))
-            self.log(event.text, event=f"fleet.{event.kind.replace(' ', '_')}", member=event.name,
-                     life=event.life, by=event.by)
+            self.log(
+                event.text,
+                event=f"fleet.{event.kind.replace(' ', '_')}",
+                member=event.name,
+                life=event.life,
+                by=event.by,
+            )
         if events:
             self.news.set()
             self.news = trio.Event()
@@ -182,8 +199,9 @@
     async def keep_saved(self, shelf: Shelf) -> None:
         before: object = None
         while True:
-            dials = sorted(shown_dial(m.fact.card.dial) for m in self.core.view.going()
-                           if m.fact.name != self.core.name)[:KEPT]
+            dials = sorted(
+                shown_dial(m.fact.card.dial) for m in self.core.view.going() if m.fact.name != self.core.name
+            )[:KEPT]
             given = msgspec.structs.asdict(self.given).items()
             pace = {name: value for name, value in given if value is not None}
             if (now := (self.core.life, tuple(dials), pace)) != before:
@@ -252,29 +270,59 @@
         for member in core.view.members.values():
             states[member.shown] = states.get(member.shown, 0) + 1
         lacking = core.lacking()
-        return {"member": core.name, "life": core.life, "incarnation": core.fact.incarnation,
-                "listen": self.where, "part": core.part(), "settled": not lacking, "lacking": lacking,
-                "view": core.view.number, "digest": core.view.digest().hex(),
-                "changed_s_ago": round((now - core.view.changed_at) / SECOND, 3), "states": states,
-                "doubt": core.doubt, "followed": core.followed,
-                "pace": {"period_ms": core.pace.period // 1000, "timeout_ms": core.pace.timeout // 1000,
-                         "quiet_ms": core.pace.quiet // 1000, "keep_s": core.pace.keep // SECOND,
-                         "mend": core.pace.mend, "note_room": core.pace.note_room,
-                         "repeats": core.pace.repeats},
-                "sent": core.counts.sent, "received": core.counts.received,
-                "bytes_sent": core.counts.bytes_sent, "probes": core.counts.probes,
-                "missed": core.counts.missed, "stalls": core.counts.stalls, "unsent": self.unsent,
-                "dropped_after_stalls": self.dropped, "refused": core.counts.refused}
+        return {
+            "member": core.name,
+            "life": core.life,
+            "incarnation": core.fact.incarnation,
+            "listen": self.where,
+            "part": core.part(),
+            "settled": not lacking,
+            "lacking": lacking,
+            "view": core.view.number,
+            "digest": core.view.digest().hex(),
+            "changed_s_ago": round((now - core.view.changed_at) / SECOND, 3),
+            "states": states,
+            "doubt": core.doubt,
+            "followed": core.followed,
+            "pace": {
+                "period_ms": core.pace.period // 1000,
+                "timeout_ms": core.pace.timeout // 1000,
+                "quiet_ms": core.pace.quiet // 1000,
+                "keep_s": core.pace.keep // SECOND,
+                "mend": core.pace.mend,
+                "note_room": core.pace.note_room,
+                "repeats": core.pace.repeats,
+            },
+            "sent": core.counts.sent,
+            "received": core.counts.received,
+            "bytes_sent": core.counts.bytes_sent,
+            "probes": core.counts.probes,
+            "missed": core.counts.missed,
+            "stalls": core.counts.stalls,
+            "unsent": self.unsent,
+            "dropped_after_stalls": self.dropped,
+            "refused": core.counts.refused,
+        }
 
     def members(self) -> list[dict[str, Any]]:
         now = self.clock.now
-        return [{
-            "member": name, "state": m.shown, "life": m.fact.life, "incarnation": m.fact.incarnation,
-            "dial": shown_dial(m.fact.card.dial), "control": shown_dial(m.fact.card.control),
-            "zone": m.fact.card.zone, "since_s": round((now - m.since) / SECOND, 3), "by": m.by,
-            "heard_s_ago": None if m.heard_at is None else round((now - m.heard_at) / SECOND, 3),
-            "accusers": sorted(m.suspicion.accusers) if m.suspicion else [], "notes": len(m.notes)}
-            for name, m in sorted(self.core.view.members.items())]
+        return [
+            {
+                "member": name,
+                "state": m.shown,
+                "life": m.fact.life,
+                "incarnation": m.fact.incarnation,
+                "dial": shown_dial(m.fact.card.dial),
+                "control": shown_dial(m.fact.card.control),
+                "zone": m.fact.card.zone,
+                "since_s": round((now - m.since) / SECOND, 3),
+                "by": m.by,
+                "heard_s_ago": None if m.heard_at is None else round((now - m.heard_at) / SECOND, 3),
+                "accusers": sorted(m.suspicion.accusers) if m.suspicion else [],
+                "notes": len(m.notes),
+            }
+            for name, m in sorted(self.core.view.members.items())
+        ]
 
     def close(self) -> None:
         self.sock.close()
--- a/tests/accounts_standin.py
+++ b/tests/accounts_standin.py
@@ -13,8 +13,9 @@
 from gorsefork.usage.records import Unreadable, decode
 from gorsefork.usage.verify import Ledger
 
-Trouble = Literal["none", "refuses", "breaks before", "breaks after", "late", "stalls", "repeats", "lies",
-                  "noise"]
+Trouble = Literal[
+    "none", "refuses", "breaks before", "breaks after", "late", "stalls", "repeats", "lies", "noise"
+]
 ODDS: dict[Trouble, float] = {"refuses": 0.05, "breaks after": 0.05, "late": 0.03}
 
 
@@ -51,8 +52,11 @@
                 status, headers, data = answer
                 headers = [*headers, ("Content-Length", str(len(data)))]
                 head = h11.Response(status_code=status, headers=headers)
-                await stream.send_all(b"".join(http.send(each) or b"" for each in (
-                    head, h11.Data(data=data), h11.EndOfMessage())))
+                await stream.send_all(
+                    b"".join(
+                        http.send(each) or b"" for each in (head, h11.Data(data=data), h11.EndOfMessage())
+                    )
+                )
                 if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                     return
                 http.start_next_cycle()
@@ -73,8 +77,13 @@
     that was never sent.
     """
 
-    def __init__(self, rng: random.Random, script: list[Trouble] | None = None,
-                 odds: dict[Trouble, float] | None = None, patience: float = 0.6) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        script: list[Trouble] | None = None,
+        odds: dict[Trouble, float] | None = None,
+        patience: float = 0.6,
+    ) -> None:
         super().__init__()
         self.rng, self.script, self.patience = rng, list(script or ()), patience
         self.odds = ODDS if odds is None else odds
--- a/tests/directory_standin.py
+++ b/tests/directory_standin.py
@@ -22,8 +22,10 @@
 
 
 def entry(attributes: Entry) -> bytes:
-    rows = [ber(0x30, ber(4, name.encode()), ber(0x31, *(ber(4, v.encode()) for v in values)))
-            for name, values in attributes.items()]
+    rows = [
+        ber(0x30, ber(4, name.encode()), ber(0x31, *(ber(4, v.encode()) for v in values)))
+        for name, values in attributes.items()
+    ]
     return ber(0x64, ber(4, b"cn=x"), ber(0x30, *rows))
 
 
@@ -47,11 +49,13 @@
         if buffer[1] < 128:
             return 2 + buffer[1]
         width = buffer[1] & 127
-        return 2 + width + int.from_bytes(buffer[2:2 + width], "big") if len(buffer) >= 2 + width else 1 << 30
+        return (
+            2 + width + int.from_bytes(buffer[2 : 2 + width], "big") if len(buffer) >= 2 + width else 1 << 30
+        )
 
     async def answer(self, stream: trio.SocketStream, message: bytes) -> bool:
         start = 2 + (message[1] & 127 if message[1] >= 128 else 0)
-        number = message[start:start + 2 + message[start + 1]]
+        number = message[start : start + 2 + message[start + 1]]
         operation = message[start + len(number)]
         if operation == BIND:
             good = message.endswith(ber(0x80, self.password))
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -27,9 +27,18 @@
 
 WITHIN = 30.0  # s for any one wait
 ROOT = Path(__file__).parents[1]
-CONFIG = {"settings": {"balancers": 1, "me": 0, "step": 4_000_000, "classes": [
-    {"name": "look", "aim": 1_000_000_000, "deadline": 3_000_000_000}], "tiersOfService": [
-    {"name": "plain", "rate": 10.0, "depth": 20.0}, {"name": "large", "rate": 50.0, "depth": 90.0}]}}
+CONFIG = {
+    "settings": {
+        "balancers": 1,
+        "me": 0,
+        "step": 4_000_000,
+        "classes": [{"name": "look", "aim": 1_000_000_000, "deadline": 3_000_000_000}],
+        "tiersOfService": [
+            {"name": "plain", "rate": 10.0, "depth": 20.0},
+            {"name": "large", "rate": 50.0, "depth": 90.0},
+        ],
+    }
+}
 
 
 @dataclass
@@ -103,24 +112,37 @@
             except OSError:
                 return  # nobody is there
 
-    async def start(self, name: str, seeds: Iterable[str] = ("n0",), place: str = "", site: str = "gallery",
-                    state: bool = False) -> Running:
+    async def start(
+        self,
+        name: str,
+        seeds: Iterable[str] = ("n0",),
+        place: str = "",
+        site: str = "gallery",
+        state: bool = False,
+    ) -> Running:
         """``place``: whose door it uses, if not its own; ``state``: with a folder that outlives it."""
         place = place or name
         folder = self.folder / place
         folder.mkdir(exist_ok=True)
         config = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "7", **CONFIG}
         (folder / "config.json").write_text(json.dumps(config))
-        text = f'[control]\nlisten = "127.0.0.1:0"\ncatch_up_ms = 0\n[fleet]\nlisten = "127.0.0.1:0"\n' \
-               f'site = "{site}"\nadvertise = "{self.door(place)}"\n{self.pace}\n' \
-               f'seeds = {json.dumps([self.door(seed) for seed in seeds if seed != place])}\n'
+        text = (
+            f'[control]\nlisten = "127.0.0.1:0"\ncatch_up_ms = 0\n[fleet]\nlisten = "127.0.0.1:0"\n'
+            f'site = "{site}"\nadvertise = "{self.door(place)}"\n{self.pace}\n'
+            f"seeds = {json.dumps([self.door(seed) for seed in seeds if seed != place])}\n"
+        )
         if state:
             text += f'[state]\nfolder = "{folder}/state"\nsync = "normal"\n'
         (folder / "operator.toml").write_text(text)
-        env = {**os.environ, "PROXY_CONFIG": str(folder / "config.json"),
-               "GORSEFORK_OPERATOR": str(folder / "operator.toml"), "PYTHONPATH": str(ROOT)}
+        env = {
+            **os.environ,
+            "PROXY_CONFIG": str(folder / "config.json"),
+            "GORSEFORK_OPERATOR": str(folder / "operator.toml"),
+            "PYTHONPATH": str(ROOT),
+        }
         process = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "gorsefork"], env=env, stderr=subprocess.PIPE, cwd=folder)
+            [sys.executable, "-m", "gorsefork"], env=env, stderr=subprocess.PIPE, cwd=folder
+        )
         running = Running(name, process)
         self.all.append(running)
         self.now[place] = running
@@ -153,8 +175,9 @@
             self.heard.set()
             self.heard = trio.Event()
 
-    async def event(self, running: Running, kind: str, member: str | None = None, after: int = 0,
-                    within: float = WITHIN) -> dict[str, Any]:
+    async def event(
+        self, running: Running, kind: str, member: str | None = None, after: int = 0, within: float = WITHIN
+    ) -> dict[str, Any]:
         """The first event of that kind after so many; ``AssertionError`` with the log's end if none comes."""
         with trio.move_on_after(within):
             while True:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -33,15 +33,24 @@
 
 
 class World:
-    def __init__(self, members: int, seed: int, pace: Pace | None = None, loss: float = 0.0,
-                 delay: tuple[float, float] = (0.001, 0.005), seeds: int = 3, repeat: float = 0.0) -> None:
+    def __init__(
+        self,
+        members: int,
+        seed: int,
+        pace: Pace | None = None,
+        loss: float = 0.0,
+        delay: tuple[float, float] = (0.001, 0.005),
+        seeds: int = 3,
+        repeat: float = 0.0,
+    ) -> None:
         self.rng, self.pace, self.loss, self.delay = random.Random(seed), pace or Pace(), loss, delay
         self.repeat = repeat
         self.now = 0.0
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
-        self.places = {f"n{n}": Place(f"n{n}", packed(f"10.0.{n // 250}.{n % 250 + 1}:7000"))
-                       for n in range(members)}
+        self.places = {
+            f"n{n}": Place(f"n{n}", packed(f"10.0.{n // 250}.{n % 250 + 1}:7000")) for n in range(members)
+        }
         self.at = {place.dial: place for place in self.places.values()}
         self.seeds = [place.dial for place in self.places.values()][:seeds]
         self.cut: Callable[[str, str], bool] = lambda one, other: False  # whether what one sends is lost
@@ -71,16 +80,24 @@
     def us(self, place: Place) -> int:
         return round(self.now * SECOND) + place.clock
 
-    def start(self, *names: str, seeds: Iterable[bytes] | None = None,
-              codec: Codec | None = None, called: str = "") -> None:
+    def start(
+        self, *names: str, seeds: Iterable[bytes] | None = None, codec: Codec | None = None, called: str = ""
+    ) -> None:
         """``called``: the member's name, if not that of its machine."""
         for name in names:
             place = self.places[name]
             now = self.us(place)
             place.core = Membership(
-                called or name, UNIX + now, Card(place.dial, b"", f"z{int(name[1:]) % 3}"),
-                codec or self.codec, self.pace, random.Random(self.rng.random()), now,
-                self.seeds if seeds is None else seeds, UNIX)
+                called or name,
+                UNIX + now,
+                Card(place.dial, b"", f"z{int(name[1:]) % 3}"),
+                codec or self.codec,
+                self.pace,
+                random.Random(self.rng.random()),
+                now,
+                self.seeds if seeds is None else seeds,
+                UNIX,
+            )
             place.stopped, place.queue = False, []
             self.settle(place)
 
@@ -116,8 +133,10 @@
             self.post(place, send.dial, send.data)
         core.out.clear()
         place.waking += 1
-        self.after(max(0.0005, (core.wake_at - self.us(place)) / SECOND),
-                   lambda: self.wake(place, core, place_waking))
+        self.after(
+            max(0.0005, (core.wake_at - self.us(place)) / SECOND),
+            lambda: self.wake(place, core, place_waking),
+        )
         place_waking = place.waking
 
     def wake(self, place: Place, core: Membership, number: int) -> None:
@@ -156,25 +175,35 @@
         """Whether all that run have one settled view, and see just these (all that run, if not given)."""
         cores = self.cores()
         names = sorted({core.name for core in cores} if seen is None else seen)
-        return (len({core.view.digest() for core in cores}) == 1 and all(core.settled() for core in cores)
-                and all(sorted(core.view.seen()) == names for core in cores))
+        return (
+            len({core.view.digest() for core in cores}) == 1
+            and all(core.settled() for core in cores)
+            and all(sorted(core.view.seen()) == names for core in cores)
+        )
 
     def shown(self, at: str, of: str) -> str:
         member = self.core(at).view.members.get(of)
         return member.shown if member else "unknown"
 
-    def happened(self, kind: str, about: str | None = None,
-                 at: str | None = None) -> list[tuple[float, Event]]:
-        return [(when, event) for place in self.places.values() if at in (None, place.name)
-                for when, event in place.events if event.kind == kind and about in (None, event.name)]
+    def happened(
+        self, kind: str, about: str | None = None, at: str | None = None
+    ) -> list[tuple[float, Event]]:
+        return [
+            (when, event)
+            for place in self.places.values()
+            if at in (None, place.name)
+            for when, event in place.events
+            if event.kind == kind and about in (None, event.name)
+        ]
 
     def told(self) -> str:
         lines = []
         for core in self.cores()[:6]:
-            states = {m.fact.name: m.shown for m in core.view.members.values()
-                      if m.fact.state != State.ALIVE}
-            lines.append(f"{core.name}: {len(core.view.seen())} seen, digest {core.view.digest().hex()}, "
-                         f"lacks {core.lacking()}, {states}")
+            states = {m.fact.name: m.shown for m in core.view.members.values() if m.fact.state != State.ALIVE}
+            lines.append(
+                f"{core.name}: {len(core.view.seen())} seen, digest {core.view.digest().hex()}, "
+                f"lacks {core.lacking()}, {states}"
+            )
         return "\n".join(lines)
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -46,20 +46,47 @@
 MS = 1_000_000
 SERVERS = ("box", "box2", "oauth", "counter", "counter2", "disco", "disco2", "accounts")
 CUSTOMER = "00000000b4d65521"
-DEFAULTS = {"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Contract": "rated", "X-Client-Id": CUSTOMER,
-            "X-Expires-In-Ms": "3000", "X-Metering": "units=1,spread=1,first=0", "Host": "service.internal"}
+DEFAULTS = {
+    "X-Trace-Id": "9b1f03aa5c7e2d41",
+    "X-Contract": "rated",
+    "X-Client-Id": CUSTOMER,
+    "X-Expires-In-Ms": "3000",
+    "X-Metering": "units=1,spread=1,first=0",
+    "Host": "service.internal",
+}
 SETTINGS: dict[str, Any] = {
-    "balancers": 1, "step": 4 * MS,
+    "balancers": 1,
+    "step": 4 * MS,
     "familyInfo": {"sharedCounter": True, "countWait": 80 * MS, "settles": True, "maxUnits": 6},
     "classes": [
         {"name": "look", "aim": 1000 * MS, "deadline": 3000 * MS},
-        {"name": "buy", "aim": 1000 * MS, "deadline": 3000 * MS, "effect": "by_key", "keyScope": "cell",
-         "window": 10_000 * MS, "worth": 5.0}],
+        {
+            "name": "buy",
+            "aim": 1000 * MS,
+            "deadline": 3000 * MS,
+            "effect": "by_key",
+            "keyScope": "cell",
+            "window": 10_000 * MS,
+            "worth": 5.0,
+        },
+    ],
     "tiersOfService": [{"name": "rated", "rate": 50.0, "depth": 100.0}],
-    "limits": {"maxAttempts": 5, "cancel": True, "retryAfter": True, "maxRetryAfter": 2000 * MS,
-               "connectTimeout": 250 * MS, "keepalive": 15_000 * MS},
-    "invariants": {"drainGrace": 250 * MS, "coldShare": 0.3, "rampTime": 1 * MS, "fallMultiple": 2.5,
-                   "overloadFor": 1500 * MS}}
+    "limits": {
+        "maxAttempts": 5,
+        "cancel": True,
+        "retryAfter": True,
+        "maxRetryAfter": 2000 * MS,
+        "connectTimeout": 250 * MS,
+        "keepalive": 15_000 * MS,
+    },
+    "invariants": {
+        "drainGrace": 250 * MS,
+        "coldShare": 0.3,
+        "rampTime": 1 * MS,
+        "fallMultiple": 2.5,
+        "overloadFor": 1500 * MS,
+    },
+}
 
 
 class Server:
@@ -101,7 +128,7 @@
                 self.buffer += data
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return None
-        message, self.buffer = self.buffer[: self.length()], self.buffer[self.length():]
+        message, self.buffer = self.buffer[: self.length()], self.buffer[self.length() :]
         return message.decode("latin-1")
 
     def length(self) -> int:
@@ -121,8 +148,15 @@
     a control listener are each other's fellows, unless ``apart``.
     """
 
-    def __init__(self, ingresses: int, keepalive: int, operator: str = "", apart: bool = False,
-                 settings: Mapping[str, Any] = SETTINGS, sockets: int = 1024) -> None:
+    def __init__(
+        self,
+        ingresses: int,
+        keepalive: int,
+        operator: str = "",
+        apart: bool = False,
+        settings: Mapping[str, Any] = SETTINGS,
+        sockets: int = 1024,
+    ) -> None:
         self.settings, self.sockets = settings, sockets
         self.servers = {name: Server(name) for name in SERVERS}
         self.clients: dict[str, Wire] = {}
@@ -130,23 +164,47 @@
         self.clock = Clock()
         self.operator = operator
         self.ingresses = [self.ingress(keepalive, n) for n in range(ingresses)]
-        controls = [each.extra.acceptor.where for each in self.ingresses
-                    if each.extra and each.extra.acceptor]
+        controls = [
+            each.extra.acceptor.where for each in self.ingresses if each.extra and each.extra.acceptor
+        ]
         for ingress in self.ingresses if not apart else ():
             if ingress.extra is not None and ingress.extra.acceptor is not None:
                 ingress.extra.fellows.followers = [
-                    Follower(dial) for dial in controls if dial != ingress.extra.acceptor.where]
+                    Follower(dial) for dial in controls if dial != ingress.extra.acceptor.where
+                ]
 
     def ingress(self, keepalive: int, place: int) -> Ingress:
         limits = {**self.settings["limits"], "keepalive": keepalive}
         settings = to_settings({**self.settings, "limits": limits})
         entry = {"host": "s-1", "dial": self.servers["box"].dial, "health": "active"}
-        config = Config("n0", "127.0.0.1:0", self.servers["disco"].dial, 1, settings, (), (),
-                        {"seq": 1, "whole": True, "hosts": [entry]}, self.servers["counter"].dial,
-                        sockets=self.sockets, ops="127.0.0.1:0")
+        config = Config(
+            "n0",
+            "127.0.0.1:0",
+            self.servers["disco"].dial,
+            1,
+            settings,
+            (),
+            (),
+            {"seq": 1, "whole": True, "hosts": [entry]},
+            self.servers["counter"].dial,
+            sockets=self.sockets,
+            ops="127.0.0.1:0",
+        )
         second = IntrospectionConfig(
-            "guide-app", "127.0.0.1:0", self.servers["oauth"].dial, "/introspect", "me", "s3cret", 300, 250,
-            8, "client_id", "", {"buy": "tour.buy"}, {"museum": TenantEntry("rated", CUSTOMER, 1, 0)})
+            "guide-app",
+            "127.0.0.1:0",
+            self.servers["oauth"].dial,
+            "/introspect",
+            "me",
+            "s3cret",
+            300,
+            250,
+            8,
+            "client_id",
+            "",
+            {"buy": "tour.buy"},
+            {"museum": TenantEntry("rated", CUSTOMER, 1, 0)},
+        )
         extra = None
         if self.operator:
             text = re.sub(r"\$(\w+)", lambda name: self.servers[name[1]].dial, self.operator)
@@ -258,8 +316,9 @@
             pouring = sum(c.pouring for acceptor in ingress.acceptors for c in acceptor.connections)
             figures = ingress.decider.figures
             assert figures.open() == waiting + pouring, (figures.taken, figures.ended, waiting, pouring)
-            assert all(relayed <= 5 * taken for relayed, taken
-                       in zip(figures.relayed, figures.taken, strict=True)), figures.relayed
+            assert all(
+                relayed <= 5 * taken for relayed, taken in zip(figures.relayed, figures.taken, strict=True)
+            ), figures.relayed
 
     async def wait_client(self, who: str, rest: str) -> None:
         assert await self.clients.pop(who).message() is None, "another answer"
@@ -311,9 +370,17 @@
                 answered += 1
 
 
-def scenario(script: str, ingresses: int = 1, then: Callable[[World], Awaitable[None]] | None = None,
-             keepalive: int = 15_000 * MS, tenants: Tenants | None = None, operator: str = "",
-             apart: bool = False, settings: Mapping[str, Any] = SETTINGS, sockets: int = 1024) -> None:
+def scenario(
+    script: str,
+    ingresses: int = 1,
+    then: Callable[[World], Awaitable[None]] | None = None,
+    keepalive: int = 15_000 * MS,
+    tenants: Tenants | None = None,
+    operator: str = "",
+    apart: bool = False,
+    settings: Mapping[str, Any] = SETTINGS,
+    sockets: int = 1024,
+) -> None:
     """Play a script; what still runs at its end is cancelled."""
 
     async def main() -> None:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -21,8 +21,16 @@
 from gorsefork.usage.store import Unkept, UseStore, VolatileStore
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
 
-TROUBLES: list[Trouble] = ["refuses", "breaks before", "breaks after", "late", "stalls", "repeats", "lies",
-                           "noise"]
+TROUBLES: list[Trouble] = [
+    "refuses",
+    "breaks before",
+    "breaks after",
+    "late",
+    "stalls",
+    "repeats",
+    "lies",
+    "noise",
+]
 USES = 120
 
 
@@ -39,8 +47,9 @@
         at = AccountsAt(accounts.dial, "/v1/usage", form, 10, 1000, 0.1, "Bearer secret")
         shelf, told = Shelf(store, threaded), list[bool]()
         exporter = Exporter(at, shelf, clock, log, 1, lambda: None)
-        recorder = Recorder(shelf, clock, 100_000, (["rated"], ["look"]), lambda: 0, lambda shut, why: None,
-                            exporter.recorded)
+        recorder = Recorder(
+            shelf, clock, 100_000, (["rated"], ["look"]), lambda: 0, lambda shut, why: None, exporter.recorded
+        )
         nursery.start_soon(recorder.run)
         exporting = trio.CancelScope()
 
@@ -98,8 +107,10 @@
     accounts = Accounts(random.Random(3), TROUBLES * 2, odds={}, patience=0.15)
     database = Database(tmp_path / "n0", "n0", "normal") if durable else None
     store: UseStore = DurableStore(database, 7) if database else VolatileStore("n0", 7)
-    with mock.patch("gorsefork.usage.shipping.SHORTEST", 5_000), mock.patch(
-            "gorsefork.usage.shipping.LONGEST", 20_000):
+    with (
+        mock.patch("gorsefork.usage.shipping.SHORTEST", 5_000),
+        mock.patch("gorsefork.usage.shipping.LONGEST", 20_000),
+    ):
         trio.run(day, store, accounts, form, durable)
     (life,) = accounts.ledger.lives()
     assert life.whole and (life.records, life.micro) == (USES, USES * 500_000)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -92,6 +92,7 @@
 
     def test_a_crowd_of_idle_clients_gives_way_before_it_fills_the_bound(self) -> None:
         """Guards against clients that find no connection while others hold theirs for nothing."""
+
         async def crowd(world: World) -> None:
             world.ingresses[0].acceptors[0].most_idle = 2
             await world.play("""
@@ -125,9 +126,11 @@
         scenario("", then=then)
 
     def test_silence_and_half_a_request_end_their_connections(self) -> None:
-        with mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 100_000), \
-                mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.3), \
-                mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.1):
+        with (
+            mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 100_000),
+            mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.3),
+            mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.1),
+        ):
             scenario("""
                 c1 send raw
                 c2 send GET /healthz
@@ -195,7 +198,6 @@
             c2 expect 502
             box wait""")
 
-
     def test_odd_bytes_in_a_box_s_content_type_come_back_as_they_are(self) -> None:
         """Guards against an answer that could not be written, which ended the program."""
         scenario("""
@@ -291,7 +293,8 @@
     def test_a_connection_made_for_the_box_before_is_not_kept_for_the_next(self) -> None:
         """Guards against a box that moves or starts anew while one of its connections is in use."""
         moved = '{"host": "s-1", "dial": "$box2", "health": "active"}'
-        scenario("""
+        scenario(
+            """
             disco expect GET /v1/servers?index=1&wait=
             c1 send GET /look
             box expect GET /look
@@ -303,7 +306,8 @@
             c1 send GET /look
             box2 expect GET /look
             box2 send 200 | new
-            c1 expect 200 | new""".replace("$moved", moved))
+            c1 expect 200 | new""".replace("$moved", moved)
+        )
 
     def test_a_kept_connection_that_turned_readable_is_not_used_again(self) -> None:
         scenario("""
@@ -322,21 +326,24 @@
             box send 200 | three
             c1 expect 200 | three""")
 
-
     def test_an_idle_connection_is_closed_well_before_the_box_would(self) -> None:
         began = time.monotonic()
-        scenario("""
+        scenario(
+            """
             c1 send GET /look
             box expect GET /look
             box send 200 | one
             c1 expect 200
-            box wait""", keepalive=1_000_000_000)
+            box wait""",
+            keepalive=1_000_000_000,
+        )
         self.assertLess(time.monotonic() - began, 1.0)
 
 
 class Drain(unittest.TestCase):
     def test_clients_that_say_nothing_do_not_hold_up_a_drain(self) -> None:
         """Guards against a restart that takes seconds longer for each crowd of silent clients."""
+
         async def drain(world: World) -> None:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(world.ingresses[0].drain)
@@ -364,11 +371,14 @@
                 await world.play("c1 expect 503 Connection")
                 await world.play("c1 wait")
 
-        scenario("""
+        scenario(
+            """
             c2 send GET /healthz
             c2 expect 200
             c1 send GET /look X-Expires-In-Ms=2500
-            box expect GET /look""", then=drain)
+            box expect GET /look""",
+            then=drain,
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -48,13 +48,41 @@
 
 def test_a_plan_is_set_shown_listed_and_rolled_back() -> None:
     def steps(run: Run, world: World) -> None:
-        made = json.loads(good(run("plans", "set", CUSTOMER, "rated", "--from", "now", "--note", "holidays",
-                                   "--author", "ana", "--json")))
+        made = json.loads(
+            good(
+                run(
+                    "plans",
+                    "set",
+                    CUSTOMER,
+                    "rated",
+                    "--from",
+                    "now",
+                    "--note",
+                    "holidays",
+                    "--author",
+                    "ana",
+                    "--json",
+                )
+            )
+        )
         assert "rated" in good(run("plans", "list")) and "rated" in good(run("plans", "show", CUSTOMER))
         row = good(run("plans", "history", CUSTOMER)).splitlines()[1]
         assert made["number"] in row and "holidays" in row and "ana" in row
-        good(run("plans", "reserve", CUSTOMER, "--rate", "2", "--burst", "10", "--from", "now",
-                 "--until", "+2h"))
+        good(
+            run(
+                "plans",
+                "reserve",
+                CUSTOMER,
+                "--rate",
+                "2",
+                "--burst",
+                "10",
+                "--from",
+                "now",
+                "--until",
+                "+2h",
+            )
+        )
         assert "+2/s, +10 until" in good(run("plans", "list"))
         assert CUSTOMER in good(run("plans", "diff", made["number"]))
         good(run("plans", "rollback", made["number"], "--from", "now"))
@@ -99,11 +127,20 @@
     play(steps)
 
 
-@pytest.mark.parametrize("words", [
-    ("plans", "set", "zz", "rated"), ("plans", "set", CUSTOMER), ("plans", "paint"), ("--colour",),
-    ("plans", "set", CUSTOMER, "rated", "--from", "tomorrow"), ("plans", "list", "--control", "box:1"),
-    ("plans", "reserve", CUSTOMER, "--rate", "many", "--burst", "1", "--from", "now", "--until", "+1h"),
-    ("usage", "verify"), ("plans", "list", "--key-file", "/nowhere/key")])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("plans", "set", "zz", "rated"),
+        ("plans", "set", CUSTOMER),
+        ("plans", "paint"),
+        ("--colour",),
+        ("plans", "set", CUSTOMER, "rated", "--from", "tomorrow"),
+        ("plans", "list", "--control", "box:1"),
+        ("plans", "reserve", CUSTOMER, "--rate", "many", "--burst", "1", "--from", "now", "--until", "+1h"),
+        ("usage", "verify"),
+        ("plans", "list", "--key-file", "/nowhere/key"),
+    ],
+)
 def test_bad_use_is_exit_2_and_says_why_on_stderr(words: tuple[str, ...]) -> None:
     result = CliRunner().invoke(cli, words)
     assert (result.exit_code, result.stdout) == (2, "") and "Error" in result.stderr
@@ -112,8 +149,13 @@
 def test_help_needs_no_configuration() -> None:
     env = {name: value for name, value in os.environ.items() if not name.startswith(("PROXY", "GORSEFORK"))}
     for words in ([], ["plans"], ["plans", "set"], ["usage", "verify"], ["config", "write"]):
-        shown = subprocess.run([sys.executable, "-m", "gorsefork", *words, "--help"], env=env, check=True,
-                               capture_output=True, text=True)
+        shown = subprocess.run(
+            [sys.executable, "-m", "gorsefork", *words, "--help"],
+            env=env,
+            check=True,
+            capture_output=True,
+            text=True,
+        )
         assert shown.stdout.startswith("Usage: gorsefork") and not shown.stderr
 
 
@@ -124,7 +166,8 @@
         assert extra is not None and extra.acceptor is not None
         control = f"--control={extra.acceptor.where}"
         seen = await trio.to_thread.run_sync(
-            lambda: CliRunner().invoke(cli, ["usage", "status", "--json", control]))
+            lambda: CliRunner().invoke(cli, ["usage", "status", "--json", control])
+        )
         (told,) = json.loads(good(seen))
         assert (told["recorded"], told["waiting"], told["units"], told["durable"]) == (1, 1, 1.0, False)
         await trio.to_thread.run_sync(lambda: good(CliRunner().invoke(cli, ["usage", "export", control])))
@@ -145,8 +188,18 @@
     path = tmp_path / "batches"
     path.write_bytes(batches((1, 3, False), (1, 3, False), (4, 5, True)))
     whole = CliRunner().invoke(cli, ["usage", "verify", str(path), "--json"])
-    assert json.loads(good(whole)) == [{"ingress": "n0", "life": 7, "records": 5, "units": 2.5, "repeats": 3,
-                                       "missing": 0, "contradictions": 0, "closed": True}]
+    assert json.loads(good(whole)) == [
+        {
+            "ingress": "n0",
+            "life": 7,
+            "records": 5,
+            "units": 2.5,
+            "repeats": 3,
+            "missing": 0,
+            "contradictions": 0,
+            "closed": True,
+        }
+    ]
     path.write_bytes(batches((1, 3, False), (6, 7, False)))
     holed = CliRunner().invoke(cli, ["usage", "verify", str(path)])
     assert holed.exit_code == 1 and "missing" in holed.stderr
