--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -22,9 +22,23 @@
 from gorsefork.memory.clock import Clock
 from gorsefork.wire.discovery import BadList
 
-WORDS = ["write", "--application", "guide-app", "--listen", "127.0.0.1:8081", "--server", "127.0.0.1:9000",
-         "--client-id", "sidecar", "--client-secret-env", "SECRET", "--scope", "tour-purchase=tour.buy",
-         "--tenant", "m-1=large-museum,00000000b4d65521,2,0"]
+WORDS = [
+    "write",
+    "--application",
+    "guide-app",
+    "--listen",
+    "127.0.0.1:8081",
+    "--server",
+    "127.0.0.1:9000",
+    "--client-id",
+    "sidecar",
+    "--client-secret-env",
+    "SECRET",
+    "--scope",
+    "tour-purchase=tour.buy",
+    "--tenant",
+    "m-1=large-museum,00000000b4d65521,2,0",
+]
 
 
 class Tool(unittest.TestCase):
@@ -35,8 +49,11 @@
 
     def run_tool(self, *words: str, env: dict[str, str] | None = None) -> tuple[int, str]:
         out = io.StringIO()
-        with (mock.patch.dict("os.environ", env or {}), contextlib.redirect_stdout(out),
-              contextlib.redirect_stderr(out)):
+        with (
+            mock.patch.dict("os.environ", env or {}),
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(out),
+        ):
             return tool.main(words), out.getvalue()
 
     def test_what_is_written_is_found_good_and_names_no_secret(self) -> None:
@@ -56,16 +73,24 @@
         self.assertEqual((code, "tenants.m-1.plan" in text), (2, True), text)
 
     def test_tenants_in_a_directory(self) -> None:
-        keys = ("address=127.0.0.1:389", "bind_dn=cn=gorsefork", "password_env=SECRET", "base=ou=t,dc=eg",
-                "plan_attribute=plan", "customer_attribute=customer")
+        keys = (
+            "address=127.0.0.1:389",
+            "bind_dn=cn=gorsefork",
+            "password_env=SECRET",
+            "base=ou=t,dc=eg",
+            "plan_attribute=plan",
+            "customer_attribute=customer",
+        )
         words = [*WORDS[:-2], *(word for key in keys for word in ("--directory", key))]
         self.assertEqual(self.run_tool(*words, "--output", str(self.path)), (0, ""))
         config = read(self.path.read_text(), {"SECRET": "s3cret"})
         assert config is not None and config.directory is not None
         self.assertEqual(config.directory.base, "ou=t,dc=eg")
         self.assertNotIn("s3cret", repr(config))
-        for old, new, key in (("127.0.0.1:389", "192.0.2.1:389", "directory.address"),
-                              ('password_env = "SECRET"', "", "directory.password_env")):
+        for old, new, key in (
+            ("127.0.0.1:389", "192.0.2.1:389", "directory.address"),
+            ('password_env = "SECRET"', "", "directory.password_env"),
+        ):
             with self.subTest(key), self.assertRaisesRegex(BadFile, f"^{key}: "):
                 read(self.path.read_text().replace(old, new), {"SECRET": "x"})
 
@@ -78,16 +103,17 @@
         self.run_tool(*WORDS, "--output", str(self.path))
         good = self.path.read_text()
         for old, new, key in (
-                ("timeout_ms = 400", "timeout_ms = 1400", "server.timeout_ms"),
-                ("timeout_ms = 400", "timeout_ms = true", "server.timeout_ms"),
-                ("max_age_ms", "max_agems", "server.max_agems"),
-                ('listen = "127.0.0.1:8081"', "", "listen"),
-                ("127.0.0.1:9000", "127.0.0.1:99000", "server.address"),
-                ("127.0.0.1:9000", "192.0.2.7:9000", "server.address"),
-                ('customer = "00000000b4d65521"', 'customer = "me"', "tenants.m-1.customer"),
-                ("tour.buy", "tour buy", "scopes.tour-purchase"),
-                ("enabled = true", "enabled = 1", "enabled"),
-                ("[server]", "[server", "file")):
+            ("timeout_ms = 400", "timeout_ms = 1400", "server.timeout_ms"),
+            ("timeout_ms = 400", "timeout_ms = true", "server.timeout_ms"),
+            ("max_age_ms", "max_agems", "server.max_agems"),
+            ('listen = "127.0.0.1:8081"', "", "listen"),
+            ("127.0.0.1:9000", "127.0.0.1:99000", "server.address"),
+            ("127.0.0.1:9000", "192.0.2.7:9000", "server.address"),
+            ('customer = "00000000b4d65521"', 'customer = "me"', "tenants.m-1.customer"),
+            ("tour.buy", "tour buy", "scopes.tour-purchase"),
+            ("enabled = true", "enabled = 1", "enabled"),
+            ("[server]", "[server", "file"),
+        ):
             with self.subTest(new or old), self.assertRaisesRegex(BadFile, f"^{key}: "):
                 read(good.replace(old, new), {"SECRET": "s3cret"})
 
@@ -105,13 +131,39 @@
 
 
 WHOLE: dict[str, Any] = {
-    "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "counter": "127.0.0.1:2",
-    "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:7", "127.0.0.1:8"], "peers_all": "127.0.0.1:9",
-    "limits": {"sockets": 256}, "settings": {**SETTINGS, "failureDomains": ["a"], "machineTypes": ["b"]},
-    "known": {"seq": 1, "whole": True, "hosts": [
-        {"host": "a", "dial": "127.0.0.1:5", "health": "active", "born_ms": 0, "share": 1.0, "block": 1}]}}
-ODD: tuple[Any, ...] = (None, "x", -1, 0, [], {}, [1], {"a": 1}, True, "1:2:3", 1e300, float("inf"),
-                        float("nan"))
+    "name": "n0",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:1",
+    "seed": "1",
+    "counter": "127.0.0.1:2",
+    "peer_listen": "127.0.0.1:0",
+    "peers": ["127.0.0.1:7", "127.0.0.1:8"],
+    "peers_all": "127.0.0.1:9",
+    "limits": {"sockets": 256},
+    "settings": {**SETTINGS, "failureDomains": ["a"], "machineTypes": ["b"]},
+    "known": {
+        "seq": 1,
+        "whole": True,
+        "hosts": [
+            {"host": "a", "dial": "127.0.0.1:5", "health": "active", "born_ms": 0, "share": 1.0, "block": 1}
+        ],
+    },
+}
+ODD: tuple[Any, ...] = (
+    None,
+    "x",
+    -1,
+    0,
+    [],
+    {},
+    [1],
+    {"a": 1},
+    True,
+    "1:2:3",
+    1e300,
+    float("inf"),
+    float("nan"),
+)
 
 
 def places(value: Any, before: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -30,8 +30,11 @@
 
 
 def wanted(plan: str = "rated", effective: int = 1, customer: str = CUSTOMER, **more: Any) -> dict[str, Any]:
-    return {"act": {"do": "set", "customer": customer, "plan": plan, "effective": effective}, "author": "ana",
-            **more}
+    return {
+        "act": {"do": "set", "customer": customer, "plan": plan, "effective": effective},
+        "author": "ana",
+        **more,
+    }
 
 
 async def told(world: World, line: str, status: int = 200) -> Any:
@@ -57,8 +60,10 @@
         assert shown["entry"]["number"] == first["number"] and len(shown["history"]) == 1
         listed = await told(world, asks("GET", "/v1/plans"))
         assert [row["customer"] for row in listed["customers"]] == [CUSTOMER] and not listed["more"]
-        cancel = {"act": {"do": "cancel", "customer": CUSTOMER, "number": first["number"], "effective": 1},
-                  "author": "ana"}
+        cancel = {
+            "act": {"do": "cancel", "customer": CUSTOMER, "number": first["number"], "effective": 1},
+            "author": "ana",
+        }
         await told(world, asks("POST", "/v1/changes", cancel))
         assert (await told(world, asks("GET", f"/v1/plans/{CUSTOMER}")))["entry"] is None
         diff = await told(world, asks("GET", f"/v1/diff?from={first['number']}"))
@@ -70,26 +75,30 @@
     scenario("", operator=CONTROL, then=main)
 
 
-@pytest.mark.parametrize(("line", "status", "reason"), [
-    (asks("POST", "/v1/changes", wanted(plan="none")), 422, "no plan 'none'"),
-    (asks("POST", "/v1/changes", wanted(customer="zz")), 422, "$.act.customer"),
-    (asks("POST", "/v1/changes", wanted(effective=-1)), 422, "$.act.effective"),
-    (asks("POST", "/v1/changes", wanted(more=1)), 422, "unknown field `more`"),
-    (asks("POST", "/v1/changes", {"act": {"do": "grant"}, "author": "a"}), 422, "grant"),
-    (asks("POST", "/v1/changes", [1]), 422, "object"),
-    (asks("POST", "/v1/changes"), 400, "not JSON"),
-    (asks("POST", "/v1/changes", wanted(), key="k" * 129), 400, "128"),
-    (asks("POST", "/v1/changes", reserve(1.0, 0.0, 9, 9)), 422, "act.ends"),
-    (asks("GET", "/v1/plans/XX"), 422, "$"),
-    (asks("GET", "/v1/plans?limit=0"), 422, "limit"),
-    (asks("GET", "/v1/plans?depth=1"), 422, "depth"),
-    (asks("GET", "/v1/status?x=1"), 400, "x"),
-    (asks("GET", "/v1/plans?limit=1&limit=2"), 400, "twice"),
-    (asks("GET", "/v1/feed?wait_ms=99999"), 422, "wait_ms"),
-    (asks("GET", "/v1/changes/7@n9"), 404, "no change"),
-    (asks("GET", "/v1/changes/seven"), 400, "no number"),
-    (asks("GET", "/v2/status"), 404, "no such call"),
-    (asks("DELETE", "/v1/changes"), 405, "GET, POST")])
+@pytest.mark.parametrize(
+    ("line", "status", "reason"),
+    [
+        (asks("POST", "/v1/changes", wanted(plan="none")), 422, "no plan 'none'"),
+        (asks("POST", "/v1/changes", wanted(customer="zz")), 422, "$.act.customer"),
+        (asks("POST", "/v1/changes", wanted(effective=-1)), 422, "$.act.effective"),
+        (asks("POST", "/v1/changes", wanted(more=1)), 422, "unknown field `more`"),
+        (asks("POST", "/v1/changes", {"act": {"do": "grant"}, "author": "a"}), 422, "grant"),
+        (asks("POST", "/v1/changes", [1]), 422, "object"),
+        (asks("POST", "/v1/changes"), 400, "not JSON"),
+        (asks("POST", "/v1/changes", wanted(), key="k" * 129), 400, "128"),
+        (asks("POST", "/v1/changes", reserve(1.0, 0.0, 9, 9)), 422, "act.ends"),
+        (asks("GET", "/v1/plans/XX"), 422, "$"),
+        (asks("GET", "/v1/plans?limit=0"), 422, "limit"),
+        (asks("GET", "/v1/plans?depth=1"), 422, "depth"),
+        (asks("GET", "/v1/status?x=1"), 400, "x"),
+        (asks("GET", "/v1/plans?limit=1&limit=2"), 400, "twice"),
+        (asks("GET", "/v1/feed?wait_ms=99999"), 422, "wait_ms"),
+        (asks("GET", "/v1/changes/7@n9"), 404, "no change"),
+        (asks("GET", "/v1/changes/seven"), 400, "no number"),
+        (asks("GET", "/v2/status"), 404, "no such call"),
+        (asks("DELETE", "/v1/changes"), 405, "GET, POST"),
+    ],
+)
 def test_what_makes_no_sense_is_refused_whole_with_its_reason(line: str, status: int, reason: str) -> None:
     async def main(world: World) -> None:
         assert reason in (await told(world, line, status))["error"]
@@ -178,8 +187,9 @@
             made = await told(world, asks("POST", "/v1/changes", wanted(), at=1))
             for at in (0, 2):
                 with trio.fail_after(3):
-                    while (await told(world, asks("GET", f"/v1/plans/{CUSTOMER}", who=f"c{at + 3}", at=at))
-                           )["entry"] is None:
+                    while (await told(world, asks("GET", f"/v1/plans/{CUSTOMER}", who=f"c{at + 3}", at=at)))[
+                        "entry"
+                    ] is None:
                         await trio.lowlevel.checkpoint()
                 shown = await told(world, asks("GET", f"/v1/plans/{CUSTOMER}", who=f"c{at + 3}", at=at))
                 assert shown["entry"]["number"] == made["number"]
@@ -196,8 +206,10 @@
             while not extra.keeper.book.changes:
                 await extra.keeper.news.wait()
             for at in (0, 1):
-                await world.play(f"c{at + 1} send GET /look at={at} X-Metering=units=6,spread=1,first=0\n"
-                                 f"box expect GET /look\nbox send 200 X-Settled=6 | x\nc{at + 1} expect 200")
+                await world.play(
+                    f"c{at + 1} send GET /look at={at} X-Metering=units=6,spread=1,first=0\n"
+                    f"box expect GET /look\nbox send 200 X-Settled=6 | x\nc{at + 1} expect 200"
+                )
             names = []
             for _ in (0, 1):
                 _, message = await world.servers["counter"].get.receive()
@@ -227,11 +239,15 @@
                 act = wanted(customer=CUSTOMER, effective=5, note=f"from {at}")
                 await told(world, asks("POST", "/v1/changes", act, who=f"c{at + 3}", at=at))
             with trio.fail_after(3):
-                while len({ingress.extra.keeper.book.digest() for ingress in world.ingresses if ingress.extra}
-                          ) > 1:
+                while (
+                    len({ingress.extra.keeper.book.digest() for ingress in world.ingresses if ingress.extra})
+                    > 1
+                ):
                     await trio.lowlevel.checkpoint()
-            shown = [await told(world, asks("GET", f"/v1/plans/{CUSTOMER}", who=f"c{at + 3}", at=at))
-                     for at in (0, 1)]
+            shown = [
+                await told(world, asks("GET", f"/v1/plans/{CUSTOMER}", who=f"c{at + 3}", at=at))
+                for at in (0, 1)
+            ]
             assert shown[0]["entry"] == shown[1]["entry"] and len(shown[0]["history"]) == 2
 
         scenario("", ingresses=2, operator=CONTROL, then=main)
@@ -251,8 +267,12 @@
         scenario("", ingresses=2, operator=state.replace("50", "3000"), then=second)
 
     def test_a_fellow_that_answers_noise_or_nothing_harms_nobody(self) -> None:
-        noise = ["accounts send 200 | what?", "accounts send 500", "accounts close",
-                 "accounts send raw X\\n\\n"]
+        noise = [
+            "accounts send 200 | what?",
+            "accounts send 500",
+            "accounts close",
+            "accounts send raw X\\n\\n",
+        ]
 
         async def main(world: World) -> None:
             for line in noise:
@@ -296,7 +316,8 @@
         key.write_text("k" * 20 + "\n")
         key.chmod(0o600)
         wrong = "X" * 20
-        scenario(f"""
+        scenario(
+            f"""
             c1 send GET /v1/status front=control
             c1 expect 401 WWW-Authenticate
             c2 send GET /v1/status front=control Authorization=Bearer\xa0{wrong}
@@ -304,10 +325,13 @@
             c3 send raw3 GET /v1/status HTTP/1.1\\nHost: x\\nAuthorization: Bearer {"k" * 20}\\n\\n
             c3 expect 200
             c4 send raw3 GET /v1/status HTTP/1.1\\nHost: x\\nAuthorization: Bearer {wrong}\\n\\n
-            c4 expect 401""", operator=CONTROL + f'key_file = "{key}"\n')
+            c4 expect 401""",
+            operator=CONTROL + f'key_file = "{key}"\n',
+        )
 
     def test_one_that_stalls_or_sends_noise_ends_alone(self) -> None:
-        scenario(f"""
+        scenario(
+            f"""
             c1 send raw3 GET /v1/sta
             c2 send raw3 NOISE\\n\\n
             c2 expect 400
@@ -318,7 +342,9 @@
             c5 send GET /look
             box expect GET /look
             box send 200 | hall
-            c5 expect 200 | hall""", operator=CONTROL)
+            c5 expect 200 | hall""",
+            operator=CONTROL,
+        )
 
     def test_a_question_that_stands_ends_with_its_caller_and_is_answered_by_news(self) -> None:
         async def main(world: World) -> None:
@@ -341,9 +367,24 @@
 
 
 def test_without_an_operators_file_there_is_no_control_and_nothing_of_it_is_loaded() -> None:
-    heavy = ("msgspec", "pydantic", "pyrsistent", "structlog", "sqlite3", "click", "tabulate", "numpy",
-             "gorsefork.plans", "gorsefork.storage", "gorsefork.usage", "gorsefork.cli", "gorsefork.fleet",
-             "gorsefork.wire.introspection", "gorsefork.life.introspection_config", "tomllib")
+    heavy = (
+        "msgspec",
+        "pydantic",
+        "pyrsistent",
+        "structlog",
+        "sqlite3",
+        "click",
+        "tabulate",
+        "numpy",
+        "gorsefork.plans",
+        "gorsefork.storage",
+        "gorsefork.usage",
+        "gorsefork.cli",
+        "gorsefork.fleet",
+        "gorsefork.wire.introspection",
+        "gorsefork.life.introspection_config",
+        "tomllib",
+    )
     code = f"import sys, gorsefork.life.start; print([m for m in {heavy} if m in sys.modules])"
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -103,7 +103,8 @@
 
 class TestUnsafe:
     def test_a_request_that_is_unsafe_to_repeat_has_no_key_and_is_served(self) -> None:
-        scenario("""
+        scenario(
+            """
             c1 send POST /pay | one
             box expect POST /pay
             box send 200 | paid
@@ -111,10 +112,13 @@
             c1 send GET /pay
             c1 expect 405 Allow
             c2 send POST /buy | no key
-            c2 expect 400""", settings=UNSAFE)
+            c2 expect 400""",
+            settings=UNSAFE,
+        )
 
     def test_it_is_sent_again_where_it_surely_never_ran_and_only_there(self) -> None:
-        scenario("""
+        scenario(
+            """
             c1 send POST /pay X-Expires-In-Ms=2500 | one
             box expect POST /pay
             box send 503 X-Never-Ran=1
@@ -125,21 +129,26 @@
             box expect POST /pay
             box close
             c1 expect 502
-            box wait idle""", settings=UNSAFE)
+            box wait idle""",
+            settings=UNSAFE,
+        )
 
 
 class TestClients:
     def test_one_that_resets_as_it_is_turned_away_ends_only_its_own_connection(self) -> None:
         """Guards against a crash: what waited unread behind the answer that could not be written was read on
         after the pause, on a connection whose protocol had ended."""
+
         async def then(world: World) -> None:
             acceptor = world.ingresses[0].acceptors[0]
             await world.play("c1 send raw")
             await until(lambda: bool(acceptor.connections))
             (connection,) = acceptor.connections
             nonsense = "GET /nothing HTTP/1.1\\nHost: x\\nConnection: close\\n\\n" * 2
-            with before(acceptor.front, "begin", lambda: reset(world.clients.pop("c1"))), \
-                    mock.patch("gorsefork.wire.acceptor.PENALTY", 0.0):
+            with (
+                before(acceptor.front, "begin", lambda: reset(world.clients.pop("c1"))),
+                mock.patch("gorsefork.wire.acceptor.PENALTY", 0.0),
+            ):
                 await world.play(f"c1 send raw {nonsense}")
                 await gone(acceptor, connection)
             await world.play("c2 send GET /healthz\nc2 expect 200")
@@ -148,6 +157,7 @@
 
     def test_one_that_has_gone_by_the_time_its_requests_are_read_is_not_taken(self) -> None:
         """Guards against requests that are sent on between the reading of them and that of their end."""
+
         async def then(world: World) -> None:
             ingress = world.ingresses[0]
             await world.play("c1 send raw")
@@ -164,11 +174,14 @@
     def test_one_that_leaves_while_its_long_body_waits_is_not_sent_on(self) -> None:
         """Guards against an end that is hidden behind unread bytes: while its call waits for the quota's room
         the body isn't read on."""
+
         async def then(world: World) -> None:
             ingress = world.ingresses[0]
             ingress.registry.set_down("s-1")  # so that it waits
-            await world.play(f"c1 send raw POST /buy HTTP/1.1\\n{HEAD}Idempotency-Key: k\\n"
-                             f"Content-Length: 9000000\\n\\n{'x' * 70_000}")
+            await world.play(
+                f"c1 send raw POST /buy HTTP/1.1\\n{HEAD}Idempotency-Key: k\\n"
+                f"Content-Length: 9000000\\n\\n{'x' * 70_000}"
+            )
             await until(lambda: len(ingress.decider.calls) == 1)
             (call,) = ingress.decider.calls.values()
             say(world.clients["c1"], "x" * 10_000)
@@ -182,13 +195,15 @@
 
         scenario("", then=then)
 
-
     def test_bytes_that_come_as_its_time_ends_do_not_take_its_answer_back(self) -> None:
         """Guards against a close over unread bytes, which is a reset."""
+
         async def then(world: World) -> None:
             acceptor = world.ingresses[0].acceptors[0]
-            with mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.1), \
-                    mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.05):
+            with (
+                mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.1),
+                mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.05),
+            ):
                 await world.play("c1 send raw POST /buy HTTP/1.1\\nHost: x\\nContent-Length: 900\\n\\nhalf")
                 await until(lambda: len(acceptor.connections) == 1)
                 (connection,), wire = acceptor.connections, world.clients["c1"]
@@ -216,6 +231,7 @@
 
     def test_one_that_sends_on_behind_its_request_is_ended_and_its_call_with_it(self) -> None:
         """A bounded share, and a stated end: the others are served."""
+
         async def then(world: World) -> None:
             ingress = world.ingresses[0]
             await world.play("c1 send GET /look\nbox expect GET /look")
@@ -251,6 +267,7 @@
 
     def test_those_that_had_their_last_answer_and_stay_give_way(self) -> None:
         """Guards against clients that provoke a last answer and hold their places: others would wait."""
+
         async def then(world: World) -> None:
             acceptor = world.ingresses[0].acceptors[0]
             acceptor.most = 5
@@ -319,6 +336,7 @@
 
     def test_half_a_head_may_come_whole_and_is_answered(self) -> None:
         """Guards against an end in the middle of a request: its client goes on writing, and never hears."""
+
         async def then(world: World) -> None:
             ingress = world.ingresses[0]
             await world.play("c1 send raw GET /look HT")
@@ -334,6 +352,7 @@
 
     def test_what_was_asked_during_the_pause_for_errors_is_answered(self) -> None:
         """Guards against a request that is read as its connection ends, but not heeded, as that is paused."""
+
         async def then(world: World) -> None:
             ingress = world.ingresses[0]
             await world.play("c1 send GET /nothing\nc1 expect 404")
@@ -350,6 +369,7 @@
 
     def test_a_call_that_comes_whole_as_the_drain_ends_is_answered(self) -> None:
         """Guards against a call that begins when the module has been told that all is over."""
+
         async def then(world: World) -> None:
             ingress, answered = world.ingresses[0], False
             await world.play("c1 send raw")
@@ -414,8 +434,11 @@
             assert trio.current_time() < began + 0.5 + 0.7  # the longest deadline and what the page adds
             await world.play("c1 expect 503")
 
-        scenario("c1 send GET /look X-Expires-In-Ms=2500\nbox expect GET /look", then=then,
-                 settings={**SETTINGS, "classes": short, "limits": {**SETTINGS["limits"], "maxAttempts": 1}})
+        scenario(
+            "c1 send GET /look X-Expires-In-Ms=2500\nbox expect GET /look",
+            then=then,
+            settings={**SETTINGS, "classes": short, "limits": {**SETTINGS["limits"], "maxAttempts": 1}},
+        )
 
 
 class TestBackends:
@@ -489,11 +512,15 @@
                 await world.play("c1 expect 502")
             await world.play("box wait idle")
 
-        scenario("c1 send POST /buy Idempotency-Key=k | one\nbox expect POST /buy", then=then,
-                 settings={**SETTINGS, "classes": classes})
+        scenario(
+            "c1 send POST /buy Idempotency-Key=k | one\nbox expect POST /buy",
+            then=then,
+            settings={**SETTINGS, "classes": classes},
+        )
 
     def test_a_second_answer_behind_one_is_nobodys(self) -> None:
         """Guards against an answer that passes for that to the next request on its connection."""
+
         async def then(world: World) -> None:
             await world.play("""
                 c1 send GET /look
@@ -601,6 +628,7 @@
 
     def test_an_answer_of_the_old_discovery_that_crosses_sighup_costs_no_news_of_the_new(self) -> None:
         """Guards against a wish for the whole list that is spent on a call to the old address."""
+
         async def then(world: World) -> None:
             watch = world.ingresses[0].watch
             await world.play("disco expect GET /v1/servers?index=1&wait=")
@@ -655,6 +683,7 @@
 
 def test_settings_that_allow_probes_end_no_program() -> None:
     """Guards against an action that nobody here carries out: settings may allow what the site's forbid."""
+
     async def then(world: World) -> None:
         gate = world.ingresses[0].decider.gate
         gate.fleet.servers["s-1"].silent = True
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -20,8 +20,19 @@
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             nursery.start_soon(trio.serve_listeners, stand_in.serve, listeners)
             dial = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-            given = Directory(dial, "cn=gorsefork", "s3cret", "ou=tenants", 400, 4, "cn", "plan", "customer",
-                              "spread", "first")
+            given = Directory(
+                dial,
+                "cn=gorsefork",
+                "s3cret",
+                "ou=tenants",
+                400,
+                4,
+                "cn",
+                "plan",
+                "customer",
+                "spread",
+                "first",
+            )
             try:
                 return await DirectoryTenants(given, {"large": 7}, 3, logged.append).lookup(name, within)
             finally:
@@ -51,8 +62,13 @@
         self.assertIsNone(lookup("*)(cn=museum-1", StandIn("s3cret", {"museum-1": [MUSEUM]})))
 
     def test_every_doubt_fails_closed(self) -> None:
-        for entries in ([MUSEUM, MUSEUM], [{**MUSEUM, "plan": ["none"]}], [{**MUSEUM, "customer": ["me"]}],
-                        [{**MUSEUM, "spread": ["9"]}], [{**MUSEUM, "first": ["0", "1"]}]):
+        for entries in (
+            [MUSEUM, MUSEUM],
+            [{**MUSEUM, "plan": ["none"]}],
+            [{**MUSEUM, "customer": ["me"]}],
+            [{**MUSEUM, "spread": ["9"]}],
+            [{**MUSEUM, "first": ["0", "1"]}],
+        ):
             with self.subTest(entries), self.assertRaises(TenantsUnavailable):
                 lookup("museum-1", StandIn("s3cret", {"museum-1": entries}))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -119,7 +119,7 @@
 
     def schedule(self) -> None:
         sends = self.d.made(i.Send)
-        for send in sends[self.seen:]:
+        for send in sends[self.seen :]:
             took = self.rng.expovariate(1.0 / self.work)
             heapq.heappush(self.due, (self.d.now + took, send.id, send.server, took))
         self.seen = len(sends)
@@ -222,13 +222,19 @@
 def test_with_keepers_and_counter_away_a_try_goes_on_as_keepers_words_bore_out() -> None:
     plan = i.Plan("small", rate=1.0, burst=8.0, over_cost=1.0)
     limits = i.Limits(max_attempts=4, peer_messages=True, cancel=True)
-    given = settings(gatekeepers=200, me=199, classes=[SAFE], plans=[plan], limits=limits,
-                     accounting=i.Accounting(counter=True))
+    given = settings(
+        gatekeepers=200,
+        me=199,
+        classes=[SAFE],
+        plans=[plan],
+        limits=limits,
+        accounting=i.Accounting(counter=True),
+    )
     for yes, served in ((90, 20), (10, 0)):
         d, rng, sent = Driver(given, servers=60), random.Random(1), list[i.Send]()
 
         def end(d: Driver, sent: list[i.Send]) -> None:
-            for send in d.made(i.Send)[len(sent):]:
+            for send in d.made(i.Send)[len(sent) :]:
                 sent.append(send)
                 d.feed(i.Outcome(send.id, 0, send.server, "ok", 0.1, closed=True))
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -33,13 +33,19 @@
             others = await rig.started("n1", "n2", "n3", "n4")
             await rig.settled(first, *others)
             # The plan book's fellows come from the view: none is named in any file.
-            wanted = {"act": {"do": "set", "customer": "00000000b4d65521", "plan": "large", "effective": 1},
-                      "author": "ana"}
+            wanted = {
+                "act": {"do": "set", "customer": "00000000b4d65521", "plan": "large", "effective": 1},
+                "author": "ana",
+            }
             made = await rig.ask(others[0], "POST", "/v1/changes", wanted)
 
             async def everywhere() -> bool:
-                return all([(await rig.ask(r, "GET", "/v1/status"))["book"]["newest"] == made["number"]
-                            for r in (first, *others)])
+                return all(
+                    [
+                        (await rig.ask(r, "GET", "/v1/status"))["book"]["newest"] == made["number"]
+                        for r in (first, *others)
+                    ]
+                )
 
             await rig.until(everywhere)
             victim = others[2]
@@ -144,8 +150,9 @@
             # A later process under the name n1: the earlier one is silent, and nobody is alarmed.
             suspects = [len(told(r, "fleet.suspect")) for r in fleet]
             later = await rig.start("n1", place="n1b")
-            assert (await rig.event(fleet[1], "fleet.followed", "n1"))["life"] == \
-                (await rig.ask(later, "GET", "/v1/fleet"))["life"]
+            assert (await rig.event(fleet[1], "fleet.followed", "n1"))["life"] == (
+                await rig.ask(later, "GET", "/v1/fleet")
+            )["life"]
             await rig.settled(fleet[0], later, fleet[2], fleet[3])
             assert [len(told(r, "fleet.suspect")) for r in fleet] == suspects
             # One of another site stays outside, and is told of.
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -51,15 +51,24 @@
 
 
 def wrongly(world: World) -> list[Any]:
-    return [*world.happened("given up"),
-            *(e for e in world.happened("ended") if "taken its place" not in e[1].text)]
+    return [
+        *world.happened("given up"),
+        *(e for e in world.happened("ended") if "taken its place" not in e[1].text),
+    ]
 
 
 # Facts.
 
 CARDS = st.sampled_from([Card(packed("10.0.0.1:1")), Card(packed("10.0.0.1:2"), b"", "a")])
-FACTS = st.builds(Fact, st.just("n1"), st.integers(1, 3), st.integers(0, 3), st.integers(0, 4), CARDS,
-                  st.sampled_from(["", "n2"]))
+FACTS = st.builds(
+    Fact,
+    st.just("n1"),
+    st.integers(1, 3),
+    st.integers(0, 3),
+    st.integers(0, 4),
+    CARDS,
+    st.sampled_from(["", "n2"]),
+)
 
 
 @given(st.lists(FACTS, min_size=1, max_size=8), st.randoms(use_true_random=False))
@@ -112,16 +121,31 @@
 
 
 def some(codec: Codec, **given: Any) -> Message:
-    values: dict[str, Any] = {"kind": "ping", "name": "n0", "life": UNIX, "incarnation": 0, "serial": 1,
-                              "digest": bytes(8), "count": 1}
+    values: dict[str, Any] = {
+        "kind": "ping",
+        "name": "n0",
+        "life": UNIX,
+        "incarnation": 0,
+        "serial": 1,
+        "digest": bytes(8),
+        "count": 1,
+    }
     return Message(**{**values, **given})
 
 
-@pytest.mark.parametrize(("site", "key", "version", "reason"), [
-    ("other", KEY, 1, "site"), ("site", b"another key here", 1, "key"), ("site", KEY, 3, "version"),
-    ("site", KEY, 2, None), ("site", KEY, 0, None)])
-def test_a_fellow_that_does_not_fit_is_told_by_its_reason(site: str, key: bytes, version: int,
-                                                         reason: str | None) -> None:
+@pytest.mark.parametrize(
+    ("site", "key", "version", "reason"),
+    [
+        ("other", KEY, 1, "site"),
+        ("site", b"another key here", 1, "key"),
+        ("site", KEY, 3, "version"),
+        ("site", KEY, 2, None),
+        ("site", KEY, 0, None),
+    ],
+)
+def test_a_fellow_that_does_not_fit_is_told_by_its_reason(
+    site: str, key: bytes, version: int, reason: str | None
+) -> None:
     here, there = Codec("site", KEY), Codec(site, key, version)
     data = there.pack(some(there))
     if reason is None:
@@ -194,8 +218,10 @@
     died = world.now
     world.kill("n1")
     tempo = Tempo(members, 1.0, 0.0, 0.005)
-    world.run_until(lambda: all(world.shown(n, "n1") == "unreachable" for n in all_but(world, "n1")),
-                    bounds.detection(tempo))
+    world.run_until(
+        lambda: all(world.shown(n, "n1") == "unreachable" for n in all_but(world, "n1")),
+        bounds.detection(tempo),
+    )
     assert min(at for at, _ in world.happened("unreachable")) - died > bounds.suspicion_least(members, 1.0)
     for core in world.cores():  # none accuses by itself before a second probe has failed too
         told = [event.by for _, event in world.happened("suspect", "n1", at=core.name)]
@@ -283,7 +309,8 @@
         world.run(0.2)
     assert core.counts.stalls >= 8 and not wrongly(world)
     assert not world.happened("suspect", at="n5") or all(
-        event.name == "n5" for _, event in world.happened("suspect", at="n5"))
+        event.name == "n5" for _, event in world.happened("suspect", at="n5")
+    )
     world.run_until(world.one_view, settle(world))
 
 
@@ -436,8 +463,9 @@
     world.run_until(world.one_view, settle(world))
 
 
-@pytest.mark.parametrize("codec", [Codec("other", KEY), Codec("site", b"another key here"),
-                                   Codec("site", KEY, 4)])
+@pytest.mark.parametrize(
+    "codec", [Codec("other", KEY), Codec("site", b"another key here"), Codec("site", KEY, 4)]
+)
 def test_a_stranger_stays_outside_and_is_told_of_once_a_minute(codec: Codec) -> None:
     world = World(4, 9)
     world.start("n0", "n1", "n2")
@@ -584,8 +612,13 @@
 
 def test_the_bounds_grow_with_what_makes_things_slow() -> None:
     base = Tempo(12, 1.0, 0.1, 0.05)
-    for worse in (replace(base, members=100), replace(base, loss=0.3), replace(base, delay=0.2),
-                  replace(base, period=2.0), replace(base, doubt=2)):
+    for worse in (
+        replace(base, members=100),
+        replace(base, loss=0.3),
+        replace(base, delay=0.2),
+        replace(base, period=2.0),
+        replace(base, doubt=2),
+    ):
         assert bounds.settling(worse, 3.0) > bounds.settling(base, 3.0)
     assert bounds.spread(Tempo(1, 1.0)) == 0.0 and bounds.spread(Tempo(5, 1.0, 1.0)) == float("inf")
 
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -97,14 +97,27 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_a_ceiling_holds_over_a_set_while_counter_and_peers_are_away(seed: int) -> None:
-    plan = i.Plan("large", rate=9.0, burst=24.0, over_worth=0.1, ceiling_rate=20.0, ceiling_burst=51.0,
-                  ceiling_slack=6.0)
+    plan = i.Plan(
+        "large",
+        rate=9.0,
+        burst=24.0,
+        over_worth=0.1,
+        ceiling_rate=20.0,
+        ceiling_burst=51.0,
+        ceiling_slack=6.0,
+    )
     limits = i.Limits(max_attempts=4, cancel=True, peer_messages=True)
     rng, first = random.Random(seed), 198  # the set goes round: 198, 199, 0, 1
 
     def ingress(place: int) -> Driver:
-        given = settings(gatekeepers=FLEET, me=(first + place) % FLEET, classes=[SAFE], plans=[plan],
-                         limits=limits, accounting=i.Accounting(counter=True))
+        given = settings(
+            gatekeepers=FLEET,
+            me=(first + place) % FLEET,
+            classes=[SAFE],
+            plans=[plan],
+            limits=limits,
+            accounting=i.Accounting(counter=True),
+        )
         return Driver(given, servers=40, seed=rng.randrange(1 << 30))
 
     members, store, least, sent, now = [ingress(place) for place in range(4)], 51.0, 51.0, 0.0, 100.0
@@ -212,8 +225,9 @@
 
 @pytest.mark.parametrize("many", [20, 30, 200])
 @pytest.mark.parametrize("carried", [4.0, 20.0, 60.0])
-def test_tokens_for_a_cold_server_and_what_is_added_fit_its_budget_whoever_was_told(many: int,
-                                                                                    carried: float) -> None:
+def test_tokens_for_a_cold_server_and_what_is_added_fit_its_budget_whoever_was_told(
+    many: int, carried: float
+) -> None:
     """By construction: a token of each that deals them, and what their rates add in a window, are at most
     N + 2 x root of N + 2 for a budget of N; also where all are cold, and each hears of it in its own time."""
     guards = i.Guards(cold_share=0.31, ramp=17.0, fall_multiple=2.5, fall_window=1.5)
--- a/tests/test_grpc_outcomes.py
+++ b/tests/test_grpc_outcomes.py
@@ -19,14 +19,27 @@
 
 
 class TestTimeouts:
-    @pytest.mark.parametrize(("value", "us"), [
-        (b"1H", 3_600_000_000), (b"2M", 120_000_000), (b"3S", 3_000_000), (b"4m", 4_000), (b"5u", 5),
-        (b"6n", 1), (b"1000n", 1), (b"0S", 0), (b"99999999H", 99_999_999 * 3_600_000_000)])
+    @pytest.mark.parametrize(
+        ("value", "us"),
+        [
+            (b"1H", 3_600_000_000),
+            (b"2M", 120_000_000),
+            (b"3S", 3_000_000),
+            (b"4m", 4_000),
+            (b"5u", 5),
+            (b"6n", 1),
+            (b"1000n", 1),
+            (b"0S", 0),
+            (b"99999999H", 99_999_999 * 3_600_000_000),
+        ],
+    )
     def test_every_unit(self, value: bytes, us: int) -> None:
         assert read_timeout(value) == us
 
-    @pytest.mark.parametrize("value", [b"", b"1", b"S", b"-1S", b"1.5S", b"100000000S", b"1s", b" 1S", b"1S ",
-                                       "\u0661S".encode(), b"1S\n"])
+    @pytest.mark.parametrize(
+        "value",
+        [b"", b"1", b"S", b"-1S", b"1.5S", b"100000000S", b"1s", b" 1S", b"1S ", "\u0661S".encode(), b"1S\n"],
+    )
     def test_what_is_none(self, value: bytes) -> None:
         with pytest.raises(BadTimeout):
             read_timeout(value)
@@ -57,7 +70,10 @@
         assert read_code(b"0") is Code.OK and read_code(b"16") is Code.UNAUTHENTICATED
         assert {read_code(value) for value in (b"17", b"-1", b"", b"OK", b"0x1", b"1000", b" 0")} == {None}
         assert (from_http(503), from_http(404), from_http(418)) == (
-            Code.UNAVAILABLE, Code.UNIMPLEMENTED, Code.UNKNOWN)
+            Code.UNAVAILABLE,
+            Code.UNIMPLEMENTED,
+            Code.UNKNOWN,
+        )
 
 
 def trailers(value: bytes | None, **more: object) -> Reading:
@@ -81,10 +97,13 @@
     def test_a_status_that_is_missing_unreadable_or_unknown_fails(self, value: bytes | None) -> None:
         assert read(trailers(value)) == Verdict("error", Code.UNKNOWN, Use.FAILED)
 
-    @pytest.mark.parametrize(("http", "code"), [(503, Code.UNAVAILABLE), (404, Code.UNIMPLEMENTED),
-                                               (500, Code.UNKNOWN), (None, Code.UNKNOWN)])
+    @pytest.mark.parametrize(
+        ("http", "code"),
+        [(503, Code.UNAVAILABLE), (404, Code.UNIMPLEMENTED), (500, Code.UNKNOWN), (None, Code.UNKNOWN)],
+    )
     def test_an_http_status_that_is_not_200_outranks_what_stands_beside_it(
-            self, http: int | None, code: Code) -> None:
+        self, http: int | None, code: Code
+    ) -> None:
         assert read(Reading(End.TRAILERS, http=http, trailers=b"0")) == Verdict("error", code, Use.FAILED)
 
     def test_only_a_proof_that_it_never_ran_refuses(self) -> None:
@@ -104,7 +123,8 @@
     def test_whatever_came_only_ok_counts_and_only_an_answer_counts_as_ok(self) -> None:
         values = [None, b"0", b"5", b"14", b"99"]
         for end, sent, http, head, last, never in itertools.product(
-                End, Sent, (None, 200, 503), values, values, (False, True)):
+            End, Sent, (None, 200, 503), values, values, (False, True)
+        ):
             verdict = read(Reading(end, sent, http, head, last, never))
             served = verdict.use is Use.SERVED
             assert served == (verdict.status == "ok") == (verdict.code is Code.OK)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -81,11 +81,21 @@
     def start(self) -> tuple[subprocess.Popen[str], tuple[str, int]]:
         with socket.create_server(("127.0.0.1", 0)) as free:
             ops: tuple[str, int] = free.getsockname()
-        env = {**os.environ, "PROXY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
-               "PROXY_FD": str(self.door.fileno()), "PROXY_OPS": f"{ops[0]}:{ops[1]}"}
+        env = {
+            **os.environ,
+            "PROXY_CONFIG": str(self.folder / "config.json"),
+            "TMPDIR": str(self.folder),
+            "PROXY_FD": str(self.door.fileno()),
+            "PROXY_OPS": f"{ops[0]}:{ops[1]}",
+        }
         log = (self.folder / f"log-{ops[1]}").open("w")
-        program = subprocess.Popen([sys.executable, "-m", "gorsefork"], env=env, stderr=log, text=True,
-                                   pass_fds=(self.door.fileno(),))
+        program = subprocess.Popen(
+            [sys.executable, "-m", "gorsefork"],
+            env=env,
+            stderr=log,
+            text=True,
+            pass_fds=(self.door.fileno(),),
+        )
         log.close()
         self.addCleanup(program.wait)
         self.addCleanup(program.kill)
@@ -134,9 +144,17 @@
         sock.close()
 
     def ask(self, sock: socket.socket, trace: str) -> str:
-        head = ["GET /track-fetch HTTP/1.1", "Host: x", f"X-Trace-Id: {trace}", "X-Contract: small-gallery",
-                "X-Client-Id: 00000000b4d65521", "X-Expires-In-Ms: 5000",
-                "X-Metering: units=1,spread=1,first=0", "", ""]
+        head = [
+            "GET /track-fetch HTTP/1.1",
+            "Host: x",
+            f"X-Trace-Id: {trace}",
+            "X-Contract: small-gallery",
+            "X-Client-Id: 00000000b4d65521",
+            "X-Expires-In-Ms: 5000",
+            "X-Metering: units=1,spread=1,first=0",
+            "",
+            "",
+        ]
         sock.sendall("\r\n".join(head).encode())
         data = b""
         while b"\r\n\r\n" not in data or len(data.partition(b"\r\n\r\n")[2]) < length(data):
@@ -255,10 +273,15 @@
         self.assertEqual((self.wrong, old.wait(5)), (["HTTP/1.1 200"], 0))
 
     def test_whatever_stands_in_its_place_the_next_one_says_so_and_serves(self) -> None:
-        for says in (b'{"hello": {"version"', b"\xff\n", b"[1]\n", b'{"hello": []}\n',
-                     b'{"hello": {"version": 1, "name": "n0", "list": {"hosts": [], "seq": 1e999}}}\n',
-                     json.dumps({"hello": {"version": VERSION, "name": "other"}}).encode() + b"\n",
-                     json.dumps({"hello": {"version": VERSION + 1, "name": "n0"}}).encode() + b"\n"):
+        for says in (
+            b'{"hello": {"version"',
+            b"\xff\n",
+            b"[1]\n",
+            b'{"hello": []}\n',
+            b'{"hello": {"version": 1, "name": "n0", "list": {"hosts": [], "seq": 1e999}}}\n',
+            json.dumps({"hello": {"version": VERSION, "name": "other"}}).encode() + b"\n",
+            json.dumps({"hello": {"version": VERSION + 1, "name": "n0"}}).encode() + b"\n",
+        ):
             with self.subTest(says), socket.socket(socket.AF_UNIX) as place:
                 path = self.folder / "gorsefork-n0.sock"
                 path.unlink(missing_ok=True)
@@ -318,8 +341,12 @@
                 self.serve_half(said, step)
                 new, _ = self.start()
                 whole = step == 4 * len(said) - 1
-                self.until(lambda w=whole: ("goes on with 1" if w else "gone and left nothing") in self.logs()  # type: ignore[misc]
-                           or "nothing of use" in self.logs())
+                self.until(
+                    lambda w=whole: (
+                        ("goes on with 1" if w else "gone and left nothing") in self.logs()  # type: ignore[misc]
+                        or "nothing of use" in self.logs()
+                    )
+                )
                 with socket.create_connection(self.door.getsockname(), 10) as sock:
                     self.assertTrue(self.ask(sock, f"t{step}").startswith("HTTP/1.1 200"), self.logs())
                 self.assertNotIn("Traceback", self.logs())
@@ -328,8 +355,13 @@
 
     def test_the_next_one_dies_within_each_message_of_the_link(self) -> None:
         old, ops = self.start()
-        lines = (b'{"say":"drain-on"}\n', b'{"say":"drain-off"}\n', b'{"word":[0,"79"]}\n', b'{"word":[0]}\n',
-                 b'{"mine":true}\n')
+        lines = (
+            b'{"say":"drain-on"}\n',
+            b'{"say":"drain-off"}\n',
+            b'{"word":[0,"79"]}\n',
+            b'{"word":[0]}\n',
+            b'{"mine":true}\n',
+        )
         for line in lines:
             for part in (0, len(line) // 3, len(line) - 1, len(line)):
                 with self.subTest((line, part)):
@@ -392,11 +424,13 @@
         self.assertEqual(sum(a.pending for a in new.gate.quota.accounts.values()), pending)
 
     def test_a_keepers_word_on_a_try_of_the_old_one_is_passed_back_to_it(self) -> None:
-        given = settings(plans=[i.Plan("small", rate=0.5, burst=1.0)], gatekeepers=4,
-                         limits=i.Limits(peer_messages=True))
+        given = settings(
+            plans=[i.Plan("small", rate=0.5, burst=1.0)], gatekeepers=4, limits=i.Limits(peer_messages=True)
+        )
         old, new = Driver(given), Driver(given, seed=8)
-        asked = [a for n in range(9) for a in old.ask(customer=f"c{n}", spread=3, first=1)
-                 if isinstance(a, i.Tell)]
+        asked = [
+            a for n in range(9) for a in old.ask(customer=f"c{n}", spread=3, first=1) if isinstance(a, i.Tell)
+        ]
         link = Mock()
         there = Handover.__new__(Handover)
         there.ingress, there.before = Mock(config=Mock(settings=given)), link
@@ -429,8 +463,13 @@
 
     def test_what_makes_no_sense_is_refused_by_name(self) -> None:
         given = hand_over(Gatekeeper(settings(), 1))
-        for key, value in (("fleet", []), ("quota", ["x"] * 5), ("servers", 3),
-                           ("accounts", [{"tag": "zz"}]), ("serial", "?")):
+        for key, value in (
+            ("fleet", []),
+            ("quota", ["x"] * 5),
+            ("servers", 3),
+            ("accounts", [{"tag": "zz"}]),
+            ("serial", "?"),
+        ):
             with self.subTest(key), self.assertRaises((KeyError, TypeError, ValueError, AttributeError)):
                 take_over(Gatekeeper(settings(), 2), {**given, key: value}, 1.0)
         with self.assertRaises(KeyError):
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -14,8 +14,10 @@
 from gorsefork.wire.tokens import TableOfTenants
 
 HIDDEN = "GET /look HTTP/1.1\\nX-Trace-Id: stolen\\n\\n"
-CALL = ("X-Contract: rated\\nX-Client-Id: 00000000b4d65521\\nX-Expires-In-Ms: 3000\\n"
-        "X-Metering: units=1,spread=1,first=0\\nX-Trace-Id: t-1\\nHost: x\\n")
+CALL = (
+    "X-Contract: rated\\nX-Client-Id: 00000000b4d65521\\nX-Expires-In-Ms: 3000\\n"
+    "X-Metering: units=1,spread=1,first=0\\nX-Trace-Id: t-1\\nHost: x\\n"
+)
 TOKEN = "Authorization: Bearer t1\\nX-Trace-Id: t-1\\nHost: x\\n"
 JSON = "200 Content-Type=application/json |"
 GOOD = f'oauth send {JSON} {{"active":true,"scope":"tour.buy","client_id":"museum"}}'
@@ -33,9 +35,20 @@
     ("GET /look HTTP/2.0\\n%s\\n", 505),
     ("GET /look HTTP/0.9\\n%s\\n", 505),
 ]
-PATHS = ["/look/../buy", "/look/%2e%2e/buy", "/look/.%2E/buy", "/look/./x", "/look/..;x/buy", "/look/..",
-         "/look%2f..%2fbuy", "/look/a%2Fb", "/look/a%5cb", "/look/a\\b", "/look/%252e%252e/buy",
-         "/look/%25252525252e"]
+PATHS = [
+    "/look/../buy",
+    "/look/%2e%2e/buy",
+    "/look/.%2E/buy",
+    "/look/./x",
+    "/look/..;x/buy",
+    "/look/..",
+    "/look%2f..%2fbuy",
+    "/look/a%2Fb",
+    "/look/a%5cb",
+    "/look/a\\b",
+    "/look/%252e%252e/buy",
+    "/look/%25252525252e",
+]
 
 
 class Hidden(unittest.TestCase):
@@ -95,8 +108,16 @@
         """A tenth of a unit each would let ten times the quota out before anything settles."""
         settings = to_settings(SETTINGS)
         front = IntrospectionFront(
-            settings, mock.Mock(), TableOfTenants({}), "client_id", 250, Clock(), mock.Mock(),
-            mock.Mock(), bool)
+            settings,
+            mock.Mock(),
+            TableOfTenants({}),
+            "client_id",
+            250,
+            Clock(),
+            mock.Mock(),
+            mock.Mock(),
+            bool,
+        )
         for asked, units in (("0.01", 1.0), ("1", 1.0), ("2.5", 2.5)):
             headers = {b"authorization": b"Bearer t1", b"x-metering": f"units={asked}".encode()}
             exchange = Exchange("GET", "/look", headers, 0, mock.Mock())
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -39,8 +39,11 @@
     ("5.1 WINDOW_UPDATE on an idle stream", frame(WINDOW, 0, 1, b"\0\0\0\1"), 0x1),
     ("5.1 RST_STREAM on an idle stream", frame(RST, 0, 1, b"\0\0\0\0"), 0x1),
     ("5.1.1 a stream with an even number", frame(HEADERS, 5, 2, block(*HEAD)), 0x1),
-    ("5.1.1 a number below one used",
-     frame(HEADERS, 5, 5, block(*HEAD)) + frame(HEADERS, 5, 3, block(*HEAD)), 0x1),
+    (
+        "5.1.1 a number below one used",
+        frame(HEADERS, 5, 5, block(*HEAD)) + frame(HEADERS, 5, 3, block(*HEAD)),
+        0x1,
+    ),
     ("6.1 DATA on stream 0", frame(DATA, 0, 0, b"x"), 0x1),
     ("6.1 padding longer than the frame", OPENED + frame(DATA, 8, 1, b"\x09x"), 0x1),
     ("6.2 HEADERS on stream 0", frame(HEADERS, 5, 0, block(*HEAD)), 0x1),
@@ -56,8 +59,11 @@
     ("6.9 WINDOW_UPDATE of nothing", frame(WINDOW, 0, 0, b"\0\0\0\0"), 0x1),
     ("6.9.1 a window that overflows", frame(WINDOW, 0, 0, b"\x7f\xff\xff\xff"), 0x3),
     ("6.10 CONTINUATION of nothing", frame(CONTINUATION, 4, 1, b""), 0x1),
-    ("6.10 another frame inside a block",
-     frame(HEADERS, 1, 1, block(*HEAD)) + frame(PING, 0, 0, b"\0" * 8), 0x1),
+    (
+        "6.10 another frame inside a block",
+        frame(HEADERS, 1, 1, block(*HEAD)) + frame(PING, 0, 0, b"\0" * 8),
+        0x1,
+    ),
 ]
 
 
@@ -74,7 +80,7 @@
         size = int.from_bytes(sent[:3], "big")
         if sent[3] == GOAWAY:
             return int.from_bytes(sent[13:17], "big")
-        sent = sent[9 + size:]
+        sent = sent[9 + size :]
     return None
 
 
@@ -93,9 +99,13 @@
 
 
 def flood(kind: Kind) -> bytes:
-    return {"ping": frame(PING, 0, 0, b"\0" * 8), "settings": frame(SETTINGS, 0, 0, b"\0\3\0\0\0\7"),
-            "empty": frame(DATA, 0, 1), "window": frame(WINDOW, 0, 0, b"\0\0\0\1"),
-            "priority": frame(PRIORITY, 0, 1, b"\0\0\0\0\1")}[kind]
+    return {
+        "ping": frame(PING, 0, 0, b"\0" * 8),
+        "settings": frame(SETTINGS, 0, 0, b"\0\3\0\0\0\7"),
+        "empty": frame(DATA, 0, 1),
+        "window": frame(WINDOW, 0, 0, b"\0\0\0\1"),
+        "priority": frame(PRIORITY, 0, 1, b"\0\0\0\0\1"),
+    }[kind]
 
 
 @pytest.mark.parametrize("kind", ["ping", "settings", "empty", "window", "priority"])
@@ -126,7 +136,7 @@
 
 def test_a_header_bomb_and_a_flood_of_continuations_end_their_connection() -> None:
     bomb = block(*HEAD, *[(b"x-%d" % n, b"y" * 100) for n in range(300)])
-    pieces = [bomb[at: at + 16_000] for at in range(0, len(bomb), 16_000)]
+    pieces = [bomb[at : at + 16_000] for at in range(0, len(bomb), 16_000)]
     sent = frame(HEADERS, 1, 1, pieces[0])
     sent += b"".join(frame(CONTINUATION, 4 if piece is pieces[-1] else 0, 1, piece) for piece in pieces[1:])
     for flood in (sent, frame(HEADERS, 1, 1, block(*HEAD)) + frame(CONTINUATION, 0, 1, b"") * 200):
@@ -170,8 +180,10 @@
     assert client.server.send(1, memoryview(b"answer")) == 6
     client.server.head(1, [(b"grpc-status", b"0")], ends=True)
     client.pass_on()
-    assert any(isinstance(e, h2.events.TrailersReceived) and e.headers == [(b"grpc-status", b"0")]
-               for e in client.heard)
+    assert any(
+        isinstance(e, h2.events.TrailersReceived) and e.headers == [(b"grpc-status", b"0")]
+        for e in client.heard
+    )
     assert not client.server.open
 
 
@@ -225,7 +237,7 @@
     data = rest[0] + going(5) + rest[1] + going(3, 2, b"bye") + rest[2]
     sieve, through, found = Sieve(), b"", list[GoAway]()
     for at in range(0, len(data), step):
-        part, more = sieve.feed(data[at: at + step])
+        part, more = sieve.feed(data[at : at + step])
         through, found = through + part, found + more
     assert through == b"".join(rest) and found == [GoAway(5, 0), GoAway(3, 2)] and sieve.held == b""
 
@@ -241,9 +253,14 @@
     assert any(isinstance(event, h2.events.TrailersReceived) for event in client.h2.receive_data(through))
 
 
-@pytest.mark.parametrize(("bad", "code"), [
-    (frame(GOAWAY, 0, 1, b"\0" * 8), 0x1), (frame(GOAWAY, 0, 0, b"\0" * 7), 0x6),
-    (frame(GOAWAY, 0, 0, b"\0" * 20_000), 0x6)])
+@pytest.mark.parametrize(
+    ("bad", "code"),
+    [
+        (frame(GOAWAY, 0, 1, b"\0" * 8), 0x1),
+        (frame(GOAWAY, 0, 0, b"\0" * 7), 0x6),
+        (frame(GOAWAY, 0, 0, b"\0" * 20_000), 0x6),
+    ],
+)
 def test_a_goaway_that_is_none_has_its_error(bad: bytes, code: int) -> None:
     with pytest.raises(BadGoAway) as refused:
         Sieve().feed(bad)
--- a/tests/test_introspection.py
+++ b/tests/test_introspection.py
@@ -59,19 +59,29 @@
             async def lookup(self, name: str, within: float) -> Tenant | None:
                 raise TenantsUnavailable
 
-        scenario(f"""
+        scenario(
+            f"""
             c1 send {BUY}
             oauth expect POST /introspect
             {GOOD}
             c1 expect 503 Retry-After
-            box wait idle""", tenants=Down())
+            box wait idle""",
+            tenants=Down(),
+        )
 
     def test_every_doubt_fails_closed(self) -> None:
         museum = '"client_id":"museum"'
-        doubts = (f"{JSON} not json", f'200 Content-Type=text/plain | {{"active":true,{museum}}}',
-                  f'{JSON} {{"active":"true",{museum}}}', "500", "302 Location=/ok", "401",
-                  f'{JSON} {{"active":false,"active":true,{museum}}}',
-                  f'{JSON} {{"active":true,{museum},"exp":"never"}}', "raw NOISE\\n\\n")
+        doubts = (
+            f"{JSON} not json",
+            f'200 Content-Type=text/plain | {{"active":true,{museum}}}',
+            f'{JSON} {{"active":"true",{museum}}}',
+            "500",
+            "302 Location=/ok",
+            "401",
+            f'{JSON} {{"active":false,"active":true,{museum}}}',
+            f'{JSON} {{"active":true,{museum},"exp":"never"}}',
+            "raw NOISE\\n\\n",
+        )
         for doubt in doubts:
             with self.subTest(doubt):
                 scenario(f"""
@@ -149,9 +159,12 @@
             box wait idle""")
 
     def test_the_checks_in_flight_are_bounded(self) -> None:
-        scenario("\n".join(
-            [f"c{n} send GET /look token=t1\noauth expect POST /introspect" for n in range(8)]
-            + ["c9 send GET /look token=t1", "c9 expect 503 Retry-After", "oauth wait idle"]))
+        scenario(
+            "\n".join(
+                [f"c{n} send GET /look token=t1\noauth expect POST /introspect" for n in range(8)]
+                + ["c9 send GET /look token=t1", "c9 expect 503 Retry-After", "oauth wait idle"]
+            )
+        )
 
 
 class Drained(unittest.TestCase):
@@ -186,7 +199,8 @@
             box wait idle""")
 
     def test_between_a_try_and_its_retry_through_another_ingress(self) -> None:
-        scenario(f"""
+        scenario(
+            f"""
             c1 send {BUY}
             oauth expect POST /introspect
             {GOOD}
@@ -198,7 +212,9 @@
             oauth expect POST /introspect token=t1
             {REVOKED}
             c2 expect 401 WWW-Authenticate
-            box wait idle""", ingresses=2)
+            box wait idle""",
+            ingresses=2,
+        )
 
     def test_a_server_that_fails_once_it_might_have_run(self) -> None:
         """503 would say that trying again is harmless."""
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -26,8 +26,14 @@
     if listed is not None:
         (folder / "KNOWN-RED.txt").write_text(listed)
     command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *given]
-    done = subprocess.run(command, cwd=folder, env={**os.environ, "PYTHONPATH": str(HERE)},
-                          capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        command,
+        cwd=folder,
+        env={**os.environ, "PYTHONPATH": str(HERE)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -62,14 +68,18 @@
     assert code == 0
 
 
-@pytest.mark.parametrize(("listed", "why"), [
-    (line("test_absent"), "no such test: tests/test_it.py::test_absent"),
-    (line("test_red") * 2, "twice"),
-    ("".join(map(line, ("test_red", "test_green", "test_broken", "test_fourth"))), "4 lines"),
-    ("\n", "with none the file is absent"),
-    (line("test_red", cause=" "), "is not 'test | cause | issue N'"),
-    (line("test_red", issue="soon"), "is not 'test | cause | issue N'"),
-    ("tests/test_it.py::test_red\n", "is not 'test | cause | issue N'")])
+@pytest.mark.parametrize(
+    ("listed", "why"),
+    [
+        (line("test_absent"), "no such test: tests/test_it.py::test_absent"),
+        (line("test_red") * 2, "twice"),
+        ("".join(map(line, ("test_red", "test_green", "test_broken", "test_fourth"))), "4 lines"),
+        ("\n", "with none the file is absent"),
+        (line("test_red", cause=" "), "is not 'test | cause | issue N'"),
+        (line("test_red", issue="soon"), "is not 'test | cause | issue N'"),
+        ("tests/test_it.py::test_red\n", "is not 'test | cause | issue N'"),
+    ],
+)
 def test_a_list_that_is_wrong_fails(tmp_path: Path, listed: str, why: str) -> None:
     code, text = run(tmp_path, listed)
     assert code == 4 and why in text
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -34,14 +34,15 @@
 def head(method: str, target: str, *lines: str, **given: str) -> bytes:
     """A request's head with all that a call needs."""
     headers = {**DEFAULTS, **({"Idempotency-Key": "k1"} if method == "POST" else {}), **given}
-    return "\r\n".join([f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items()), *lines,
-                        "", ""]).encode()
+    return "\r\n".join(
+        [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items()), *lines, "", ""]
+    ).encode()
 
 
 def cut(data: bytes) -> list[bytes]:
     pieces, at, turn = [], 0, 0
     while at < len(data):
-        pieces.append(data[at: at + PIECES[turn % len(PIECES)]])
+        pieces.append(data[at : at + PIECES[turn % len(PIECES)]])
         at, turn = at + len(pieces[-1]), turn + 1
     return pieces
 
@@ -70,8 +71,9 @@
 
 
 class Answers(unittest.TestCase):
-    def passes(self, lines: str, pieces: list[bytes], end: bytes = b"", close: bool = False,
-               whole: bool = True) -> None:
+    def passes(
+        self, lines: str, pieces: list[bytes], end: bytes = b"", close: bool = False, whole: bool = True
+    ) -> None:
         async def then(world: World) -> None:
             await world.play("c1 send GET /look\nbox expect GET /look")
             wire = world.servers["box"].last
@@ -138,8 +140,10 @@
                 status, body, _ = await answer_of(world.clients["c1"], MOST_HELD)
                 self.assertEqual((status, len(body) >= MOST_HELD), (200, True))
                 for n in range(20):  # others are served meanwhile
-                    await world.play(f"c2 send GET /look X-Trace-Id=t{n}\nbox expect GET /look\n"
-                                     "box send 200 | quick\nc2 expect 200 | quick")
+                    await world.play(
+                        f"c2 send GET /look X-Trace-Id=t{n}\nbox expect GET /look\n"
+                        "box send 200 | quick\nc2 expect 200 | quick"
+                    )
                 # What the ingress has taken beyond what its client read is in the system's buffers.
                 self.assertLess(sent[0], size // 2)
                 connection = next(c for c in world.ingresses[0].acceptors[0].connections if c.pouring)
@@ -201,8 +205,10 @@
                 o1 send vars
                 o1 expect +OK relayed.buy=0 open_requests=0""")
 
-        with mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.2), \
-                mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.1):
+        with (
+            mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.2),
+            mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.1),
+        ):
             scenario("", then=then)
 
     def test_its_time_counts_from_its_last_byte_and_it_is_sent_to_one_server_alone(self) -> None:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -263,9 +263,14 @@
 
 
 ODD_NOTES = [
-    b"", b"y", b"\xff" * 18, b"a" * 17,
-    Note(b"a", "00" * 8, 200, 1.0, 1).packed(), Note(b"a", "00" * 8, 0, math.inf, 1).packed(),
-    Note(b"?", "00" * 8, 0, 1.0, 1).packed(), Note(b"y", "00" * 8, 0, 1.0, 9).packed(),
+    b"",
+    b"y",
+    b"\xff" * 18,
+    b"a" * 17,
+    Note(b"a", "00" * 8, 200, 1.0, 1).packed(),
+    Note(b"a", "00" * 8, 0, math.inf, 1).packed(),
+    Note(b"?", "00" * 8, 0, 1.0, 1).packed(),
+    Note(b"y", "00" * 8, 0, 1.0, 9).packed(),
 ]
 
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -31,37 +31,63 @@
     given = read(GOOD)
     assert given.control is not None and given.state is not None and given.usage is not None
     assert (given.state.sync, given.usage.form, given.usage.batch, given.log.form) == (
-        "full", "ndjson", 500, "json")
+        "full",
+        "ndjson",
+        500,
+        "json",
+    )
     assert read("") == Operator() and read("").control is None
 
 
-@pytest.mark.parametrize(("change", "faults"), [
-    (('"127.0.0.1:8090"', '"localhost:8090"'), ["control.listen: must be an IP address and a port"]),
-    (('"127.0.0.1:8090"', '"0.0.0.0:8090"'), ["control.listen: off loopback a key_file is needed"]),
-    (('"127.0.0.1:8091"', '"127.0.0.1:8090"'), ["control.peers: names this listener itself"]),
-    (('["127.0.0.1:8091"]', '["127.0.0.1:8091", "x", "y"]'), [
-        "control.peers.1: must be an IP address and a port",
-        "control.peers.2: must be an IP address and a port"]),
-    (('"127.0.0.1:8090"', "8090"), ["control.listen: Input should be a valid string"]),
-    (("[state]", '[state]\nsync = "never"'), ["state.sync: Input should be 'full' or 'normal'"]),
-    (("[usage]", "[usage]\nbatch = 0\nflush_ms = 1.5\ncolour = 1"), [
-        "usage.batch: Input should be greater than or equal to 1",
-        "usage.flush_ms: Input should be a valid integer",
-        "usage.colour: is not known"]),
-    (('folder = "/var/lib/gorsefork/n0"', ""), ["state.folder: Field required"]),
-    (("[control]", "[controls]"), ["controls: is not known"]),
-    (('"127.0.0.1:7946"', '"10.0.0.1:7946"'), ["fleet.listen: off loopback a key_file is needed"]),
-    (('"127.0.0.1:7946"', '"0.0.0.0:7946"\nkey_file = "k"'), [
-        "fleet.advertise: is needed where listen names no address of its own"]),
-    (('site = "gallery"', 'site = "gallery"\nadvertise = "here:7"'), [
-        "fleet.advertise: must be an IP address"]),
-    (('site = "gallery"', 'site = ""\nzone = "a much too long one"\nperiod_ms = 10'), [
-        "fleet.site: String should have at least 1 character",
-        "fleet.zone: String should have at most 12 characters",
-        "fleet.period_ms: Input should be greater than or equal to 100"]),
-    (('site = "gallery"', 'site = "gallery"\nperiod_ms = 500'), [
-        "fleet.timeout_ms: must be half of period_ms at the most"]),
-    (("[control]", "[control"), ["file: is not TOML"])])
+@pytest.mark.parametrize(
+    ("change", "faults"),
+    [
+        (('"127.0.0.1:8090"', '"localhost:8090"'), ["control.listen: must be an IP address and a port"]),
+        (('"127.0.0.1:8090"', '"0.0.0.0:8090"'), ["control.listen: off loopback a key_file is needed"]),
+        (('"127.0.0.1:8091"', '"127.0.0.1:8090"'), ["control.peers: names this listener itself"]),
+        (
+            ('["127.0.0.1:8091"]', '["127.0.0.1:8091", "x", "y"]'),
+            [
+                "control.peers.1: must be an IP address and a port",
+                "control.peers.2: must be an IP address and a port",
+            ],
+        ),
+        (('"127.0.0.1:8090"', "8090"), ["control.listen: Input should be a valid string"]),
+        (("[state]", '[state]\nsync = "never"'), ["state.sync: Input should be 'full' or 'normal'"]),
+        (
+            ("[usage]", "[usage]\nbatch = 0\nflush_ms = 1.5\ncolour = 1"),
+            [
+                "usage.batch: Input should be greater than or equal to 1",
+                "usage.flush_ms: Input should be a valid integer",
+                "usage.colour: is not known",
+            ],
+        ),
+        (('folder = "/var/lib/gorsefork/n0"', ""), ["state.folder: Field required"]),
+        (("[control]", "[controls]"), ["controls: is not known"]),
+        (('"127.0.0.1:7946"', '"10.0.0.1:7946"'), ["fleet.listen: off loopback a key_file is needed"]),
+        (
+            ('"127.0.0.1:7946"', '"0.0.0.0:7946"\nkey_file = "k"'),
+            ["fleet.advertise: is needed where listen names no address of its own"],
+        ),
+        (
+            ('site = "gallery"', 'site = "gallery"\nadvertise = "here:7"'),
+            ["fleet.advertise: must be an IP address"],
+        ),
+        (
+            ('site = "gallery"', 'site = ""\nzone = "a much too long one"\nperiod_ms = 10'),
+            [
+                "fleet.site: String should have at least 1 character",
+                "fleet.zone: String should have at most 12 characters",
+                "fleet.period_ms: Input should be greater than or equal to 100",
+            ],
+        ),
+        (
+            ('site = "gallery"', 'site = "gallery"\nperiod_ms = 500'),
+            ["fleet.timeout_ms: must be half of period_ms at the most"],
+        ),
+        (("[control]", "[control"), ["file: is not TOML"]),
+    ],
+)
 def test_every_fault_is_told_at_once_each_with_its_key(change: tuple[str, str], faults: list[str]) -> None:
     with pytest.raises(BadOperatorFile) as refused:
         read(GOOD.replace(*change))
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -64,7 +64,8 @@
             self.assertEqual(figures.taken[0], sum(ended[0] for ended in figures.ended.values()) + 1)
             self.assertEqual((figures.open(), figures.ended["gone"][0]), (1, 1))
 
-        scenario(f"""
+        scenario(
+            f"""
             c1 send GET /look X-Trace-Id=1
             box expect GET /look
             o1 send vars
@@ -83,7 +84,9 @@
             o1 send vars
             o1 expect +OK open_requests=0 relayed.look=2 relayed.buy=1 fulfilled.look=1 faulted.buy=1
             c5 send GET /look X-Trace-Id=5
-            box expect GET /look""", then=then)
+            box expect GET /look""",
+            then=then,
+        )
 
 
 class OutByHand(unittest.TestCase):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -45,27 +45,40 @@
 
 class Counting(unittest.TestCase):
     def test_calls_go_one_behind_another_and_answers_match_in_order(self) -> None:
-        async def step(client: CounterClient, server: Server,
-                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+        async def step(
+            client: CounterClient, server: Server, heard: Callable[[int], Awaitable[list[Counted]]]
+        ) -> None:
             for name, amount in (("a", 2.5), ("b", -1.0), ("a", 1e9)):
                 client.add(name, amount, 4_000_000)
             messages = []
             for _ in range(3):
                 wire, message = await server.get.receive()
                 messages.append(message.split(" ")[1])
-            for answer in ("200 X\r\nContent-Length: 3\r\n\r\n2.5", "503 X\r\nContent-Length: 0\r\n\r\n",
-                           "200 X\r\nContent-Length: 4\r\n\r\n1e9\n"):
+            for answer in (
+                "200 X\r\nContent-Length: 3\r\n\r\n2.5",
+                "503 X\r\nContent-Length: 0\r\n\r\n",
+                "200 X\r\nContent-Length: 4\r\n\r\n1e9\n",
+            ):
                 await wire.stream.send_all(f"HTTP/1.1 {answer}".encode())
-            self.assertEqual(messages, ["/v1/count/a?add=2.5&ttl_ms=4000", "/v1/count/b?add=-1&ttl_ms=4000",
-                                        "/v1/count/a?add=1000000000&ttl_ms=4000"])
-            self.assertEqual([(c.name, c.status, c.total) for c in await heard(3)],
-                             [("a", "ok", 2.5), ("b", "full", 0.0), ("a", "ok", 1e9)])
+            self.assertEqual(
+                messages,
+                [
+                    "/v1/count/a?add=2.5&ttl_ms=4000",
+                    "/v1/count/b?add=-1&ttl_ms=4000",
+                    "/v1/count/a?add=1000000000&ttl_ms=4000",
+                ],
+            )
+            self.assertEqual(
+                [(c.name, c.status, c.total) for c in await heard(3)],
+                [("a", "ok", 2.5), ("b", "full", 0.0), ("a", "ok", 1e9)],
+            )
 
         counting(step)
 
     def test_a_silent_counter_piles_up_neither_calls_nor_sockets(self) -> None:
-        async def step(client: CounterClient, server: Server,
-                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+        async def step(
+            client: CounterClient, server: Server, heard: Callable[[int], Awaitable[list[Counted]]]
+        ) -> None:
             for number in range(MOST_OUT + 10):
                 client.add(f"n{number}", 1.0, 1_000_000)
             statuses = [c.status for c in await heard(MOST_OUT + 10)]
@@ -78,8 +91,9 @@
         counting(step)
 
     def test_a_late_answer_is_not_taken_for_the_next_call_s(self) -> None:
-        async def step(client: CounterClient, server: Server,
-                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+        async def step(
+            client: CounterClient, server: Server, heard: Callable[[int], Awaitable[list[Counted]]]
+        ) -> None:
             client.add("a", 1.0, 1_000_000)
             await heard(1)
             client.add("b", 1.0, 1_000_000)
@@ -87,16 +101,19 @@
             await server.get.receive()
             for total in (7, 8):
                 await wire.stream.send_all(f"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n{total}".encode())
-            self.assertEqual([(c.name, c.status, c.total) for c in await heard(2)],
-                             [("a", "timeout", 0.0), ("b", "ok", 8.0)])
+            self.assertEqual(
+                [(c.name, c.status, c.total) for c in await heard(2)],
+                [("a", "timeout", 0.0), ("b", "ok", 8.0)],
+            )
 
         counting(step)
 
-
     def test_an_answer_that_is_no_number_means_added_and_ends_its_connection(self) -> None:
         """What follows it can't be told from its own bytes: the next call goes on another connection."""
-        async def step(client: CounterClient, server: Server,
-                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+
+        async def step(
+            client: CounterClient, server: Server, heard: Callable[[int], Awaitable[list[Counted]]]
+        ) -> None:
             for number, spoilt in enumerate((b"nan", b"1_0", b"?!\x00")):
                 client.add("a", 1.0, 1_000_000)
                 wire, _ = await server.get.receive()
@@ -107,8 +124,9 @@
         counting(step)
 
     def test_a_move_waits_for_what_the_old_address_owes_and_asks_the_new_one(self) -> None:
-        async def step(client: CounterClient, server: Server,
-                       heard: Callable[[int], Awaitable[list[Counted]]]) -> None:
+        async def step(
+            client: CounterClient, server: Server, heard: Callable[[int], Awaitable[list[Counted]]]
+        ) -> None:
             client.add("a", 1.0, 1_000_000)
             wire, _ = await server.get.receive()
             new = Server("new")
@@ -118,8 +136,10 @@
                 client.add("b", 1.0, 1_000_000)
                 for total, at in ((3, wire), (4, (await new.get.receive())[0])):
                     await at.stream.send_all(f"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n{total}".encode())
-                self.assertEqual({(c.name, c.status, c.total) for c in await heard(2)},
-                                 {("a", "ok", 3.0), ("b", "ok", 4.0)})
+                self.assertEqual(
+                    {(c.name, c.status, c.total) for c in await heard(2)},
+                    {("a", "ok", 3.0), ("b", "ok", 4.0)},
+                )
                 await wire.ended.wait()
                 nursery.cancel_scope.cancel()
 
--- a/tests/test_plan_book.py
+++ b/tests/test_plan_book.py
@@ -41,8 +41,9 @@
     return Change(stamp, origin, act, "ana", key=key)
 
 
-def up(stamp: int, at: int, plan: str = "large", customer: str = A, until: int = 0,
-       origin: str = "n0") -> Change:
+def up(
+    stamp: int, at: int, plan: str = "large", customer: str = A, until: int = 0, origin: str = "n0"
+) -> Change:
     return change(stamp, SetPlan(customer, plan, at, until), origin)
 
 
@@ -99,8 +100,9 @@
 
 
 @given(histories(), st.integers(0, 30), times)
-def test_what_is_forgotten_changes_nothing_from_the_horizon_on(history: list[Change], horizon: int,
-                                                               later: int) -> None:
+def test_what_is_forgotten_changes_nothing_from_the_horizon_on(
+    history: list[Change], horizon: int, later: int
+) -> None:
     book = Book.replay(history)
     short = book.forgetting(horizon)
     assert len(short.changes) <= len(book.changes)
@@ -120,7 +122,13 @@
 def test_an_entry_holds_from_its_time_to_its_end() -> None:
     book = Book.replay([up(1, 10, until=20), up(2, 15, "small", until=18)])
     assert [plan_of(book.standing(A, at)) for at in (9, 10, 15, 17, 18, 20)] == [
-        "", "large", "small", "small", "large", ""]
+        "",
+        "large",
+        "small",
+        "small",
+        "large",
+        "",
+    ]
     assert book.standing(B, 10) is None
 
 
@@ -141,14 +149,20 @@
 
 
 def test_a_rollback_of_a_rollback_brings_back_what_it_had_voided() -> None:
-    book = Book.replay([up(1, 0, "small"), up(2, 10), change(3, Rollback("1@n0", 12)),
-                        change(4, Rollback("2@n0", 20))])
+    book = Book.replay(
+        [up(1, 0, "small"), up(2, 10), change(3, Rollback("1@n0", 12)), change(4, Rollback("2@n0", 20))]
+    )
     assert [plan_of(book.standing(A, at)) for at in (11, 12, 20)] == ["large", "small", "large"]
 
 
 def test_cancelling_one_reservation_leaves_the_other() -> None:
-    book = Book.replay([change(1, Reserve(A, 1.0, 5.0, 10, 30)), change(2, Reserve(A, 2.0, 0.0, 10, 30)),
-                        change(3, Cancel(A, "1@n0", 20))])
+    book = Book.replay(
+        [
+            change(1, Reserve(A, 1.0, 5.0, 10, 30)),
+            change(2, Reserve(A, 2.0, 0.0, 10, 30)),
+            change(3, Cancel(A, "1@n0", 20)),
+        ]
+    )
     for at, numbers in ((10, [1, 2]), (20, [2]), (30, [])):
         standing = book.standing(A, at)
         assert standing is not None and [c.stamp for c in standing.reservations] == numbers
@@ -163,16 +177,30 @@
 
 
 class TestRefused:
-    @pytest.mark.parametrize("act", [
-        SetPlan(A, "large", 10, 10), Reserve(A, 1.0, 0.0, 10, 10), Reserve(A, 0.0, 0.0, 1, 2),
-        Reserve(A, 1.0, 0.0, 0, 400 * 86_400 * SECOND), Cancel(A, "nothing", 1), Rollback("1@", 1)])
+    @pytest.mark.parametrize(
+        "act",
+        [
+            SetPlan(A, "large", 10, 10),
+            Reserve(A, 1.0, 0.0, 10, 10),
+            Reserve(A, 0.0, 0.0, 1, 2),
+            Reserve(A, 1.0, 0.0, 0, 400 * 86_400 * SECOND),
+            Cancel(A, "nothing", 1),
+            Rollback("1@", 1),
+        ],
+    )
     def test_what_makes_no_sense(self, act: Act) -> None:
         with pytest.raises(Refused, match=r"^act\."):
             check(act)
 
-    @pytest.mark.parametrize(("act", "status"), [
-        (Cancel(B, "1@n0", 9), 404), (Cancel(A, "7@n0", 9), 404), (Cancel(A, "2@n0", 9), 422),
-        (Rollback("99@n0", 9), 409)])
+    @pytest.mark.parametrize(
+        ("act", "status"),
+        [
+            (Cancel(B, "1@n0", 9), 404),
+            (Cancel(A, "7@n0", 9), 404),
+            (Cancel(A, "2@n0", 9), 422),
+            (Rollback("99@n0", 9), 409),
+        ],
+    )
     def test_what_names_the_wrong_change(self, act: Act, status: int) -> None:
         book = Book.replay([up(1, 0), change(2, Cancel(A, "1@n0", 5))])
         with pytest.raises(Refused) as refused:
@@ -304,4 +332,7 @@
         assert follower.state(0, SECOND) == "unheard"
         follower.heard(Arrivals("x", Book()).page("", 0, Book()), now=5)
         assert (follower.ask_at, follower.state(5, SECOND), follower.state(5 + 2 * SECOND, SECOND)) == (
-            5, "current", "stale")
+            5,
+            "current",
+            "stale",
+        )
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -45,7 +45,8 @@
     def start(self, **env: str) -> subprocess.Popen[str]:
         env = {**os.environ, "PROXY_CONFIG": str(self.folder / "config.json"), **env}
         program = subprocess.Popen(
-            [sys.executable, "-m", "gorsefork"], env=env, stderr=subprocess.PIPE, text=True)
+            [sys.executable, "-m", "gorsefork"], env=env, stderr=subprocess.PIPE, text=True
+        )
         self.addCleanup(program.communicate)
         self.addCleanup(program.kill)
         return program
@@ -72,7 +73,8 @@
         (self.folder / "config.json").write_text(json.dumps(config))
         env = {**os.environ, "PROXY_CONFIG": str(self.folder / "config.json")}
         program = subprocess.Popen(
-            [sys.executable, "-c", WATCHED], env=env, stderr=subprocess.PIPE, text=True)
+            [sys.executable, "-c", WATCHED], env=env, stderr=subprocess.PIPE, text=True
+        )
         self.addCleanup(program.communicate)
         self.addCleanup(program.kill)
         assert program.stderr is not None
@@ -83,8 +85,14 @@
         program.terminate()
         lines += program.communicate(timeout=10)[1].splitlines()
         seen = {line.strip() for line in lines if line.startswith("seen")}
-        self.assertEqual(seen, {"seen socket.bind AF_INET SOCK_STREAM", "seen socket.bind AF_INET SOCK_DGRAM",
-                                "seen socket.connect AF_INET SOCK_STREAM"})
+        self.assertEqual(
+            seen,
+            {
+                "seen socket.bind AF_INET SOCK_STREAM",
+                "seen socket.bind AF_INET SOCK_DGRAM",
+                "seen socket.connect AF_INET SOCK_STREAM",
+            },
+        )
 
     def test_a_bad_introspection_file_is_refused_with_its_key(self) -> None:
         path = self.folder / "introspection.toml"
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -69,12 +69,15 @@
 
 
 def test_what_was_not_served_is_not_recorded() -> None:
-    scenario("""
+    scenario(
+        """
         c1 send POST /buy Idempotency-Key=k1
         box expect POST /buy
         box close
         c1 expect 502
-        accounts wait idle""", operator=USAGE)
+        accounts wait idle""",
+        operator=USAGE,
+    )
 
 
 def test_an_answer_waits_for_its_record_and_no_longer_than_its_call() -> None:
@@ -132,8 +135,17 @@
     scenario("", operator=USAGE, then=main)
 
 
-@pytest.mark.parametrize("trouble", ["accounts send 500", "accounts close", "accounts send 200 | what?",
-                                     'accounts send 200 | {"upto":99}', "accounts send raw NOISE\\n\\n", ""])
+@pytest.mark.parametrize(
+    "trouble",
+    [
+        "accounts send 500",
+        "accounts close",
+        "accounts send 200 | what?",
+        'accounts send 200 | {"upto":99}',
+        "accounts send raw NOISE\\n\\n",
+        "",
+    ],
+)
 def test_a_batch_that_is_not_acknowledged_comes_again_the_same(trouble: str) -> None:
     async def then(world: World) -> None:
         first = await batch(world)
--- a/tests/test_shut_out.py
+++ b/tests/test_shut_out.py
@@ -71,8 +71,7 @@
                     well = [a for a in sent if a.server == "s1"]
                     d.feed(*(i.Outcome(a.id, 0, a.server, "ok", 0.05, True) for a in well))
                 d.run(0.04)
-            held = [a.id for a in lost if a.id in d.gate.tickets
-                    and d.gate.tickets[a.id].attempts[0].counted]
+            held = [a.id for a in lost if a.id in d.gate.tickets and d.gate.tickets[a.id].attempts[0].counted]
             self.assertEqual(bool(held), not answering)
             for a in lost:
                 if (ticket := d.gate.tickets.get(a.id)) and ticket.cls.effect == "once":
@@ -99,8 +98,9 @@
             for send in d.made(i.Send)[-30:-29]:  # settled when its units have long been counted
                 d.feed(i.Outcome(send.id, 0, send.server, "ok", 0.05, True, billed=1.5))
         self.assertLess(len(d.gate.quota.accounts), 300)
-        self.assertIn(d.gate.quota.of(d.request(customer="c599"), RATED, d.now),
-                      d.gate.quota.accounts.values())
+        self.assertIn(
+            d.gate.quota.of(d.request(customer="c599"), RATED, d.now), d.gate.quota.accounts.values()
+        )
         self.assertLess(len(d.gate.quota.due), 10)
 
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -239,7 +239,7 @@
         database.close()
         file = tmp_path / "n1" / "state.db"
         data = bytearray(file.read_bytes())
-        data[4096 * 8: 4096 * 12] = b"\xff" * (4096 * 4)
+        data[4096 * 8 : 4096 * 12] = b"\xff" * (4096 * 4)
         file.write_bytes(data)
         assert "move it away" in self.opened(tmp_path / "n1")
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -151,9 +151,19 @@
             sizes.append(ship.size)
         assert sizes == [4, 2, 1, 1, 2, 4, 8, 8]
 
-    @pytest.mark.parametrize(("status", "upto", "verdict"), [
-        (200, 0, "kept"), (200, None, "failed"), (409, 0, "behind"), (400, None, "refused"),
-        (401, None, "refused"), (429, None, "failed"), (500, None, "failed"), (0, None, "failed")])
+    @pytest.mark.parametrize(
+        ("status", "upto", "verdict"),
+        [
+            (200, 0, "kept"),
+            (200, None, "failed"),
+            (409, 0, "behind"),
+            (400, None, "refused"),
+            (401, None, "refused"),
+            (429, None, "failed"),
+            (500, None, "failed"),
+            (0, None, "failed"),
+        ],
+    )
     def test_what_an_answer_means(self, status: int, upto: int | None, verdict: str) -> None:
         ship = shipping()
         ship.begin()
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -74,8 +74,11 @@
 
     async def main() -> None:
         watch = DiscoveryWatch("", registry, Clock(), 1, random.Random(seed), fleet)
-        with mock.patch("gorsefork.wire.discovery.connect", discovery.connect), \
-                mock.patch.object(watch, "ask", discovery.ask), trio.move_on_after(80):
+        with (
+            mock.patch("gorsefork.wire.discovery.connect", discovery.connect),
+            mock.patch.object(watch, "ask", discovery.ask),
+            trio.move_on_after(80),
+        ):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch.run)
                 while not registry.mailbox.messages:
