Split the fleet's membership by job: probing, suspicion, dissemination, anti-entropy and others

Ruled out: mixins, as each would still reach all of the others' state; a package, as the paths others import from stay. Renamed: knock and hail to retry and ping_seed, errand to relayed probe, ring to probe order, mend to anti-entropy (the setting keeps its name), bare numbers to constants. The tests name the new places and check the same.

--- a/gorsefork/fleet/facts.py
+++ b/gorsefork/fleet/facts.py
@@ -80,6 +80,11 @@
         return blake2s(text.encode(), digest_size=8).digest()
 
 
+def replaced(fact: Fact, state: State, accuser: str = "") -> Fact:
+    """The same fact but for its state and accuser."""
+    return Fact(fact.name, fact.life, fact.incarnation, state, fact.card, accuser)
+
+
 class Note(msgspec.Struct, frozen=True, array_like=True):
     """A small fact of another subsystem, about its owner's life alone. The highest version holds."""
 
--- a/gorsefork/fleet/messages.py
+++ b/gorsefork/fleet/messages.py
@@ -1,7 +1,7 @@
-"""The datagrams between fellow ingresses: 256 bytes at most, with a keyed digest over all of it.
+"""The datagrams between ingresses: 256 bytes at most, with a keyed digest over all of it.
 
 A message is: protocol version (1 byte), site (4 bytes), keyed digest (8 bytes), body (msgpack, arrays by
-position). The first two stand in the clear, so that a fellow of another site or version is told from one
+position). The first two stand in the clear, so that a peer of another site or version is told from one
 with another key. Versions one apart read each other: fields are only added at the end, with a default.
 """
 
@@ -19,6 +19,7 @@
 LONGEST = 256
 VERSION = 1
 HEAD = 13  # bytes before the body
+MOST_FACTS = 16  # in one message
 FAN_OUT = 8  # ranges of names that one message compares
 
 Kind = Literal["ping", "ack", "relay", "nack", "gossip", "range", "push", "bye"]
@@ -44,7 +45,7 @@
     serial: Annotated[int, Meta(ge=0, lt=1 << 32)]
     digest: Annotated[bytes, Meta(min_length=8, max_length=8)]
     count: Annotated[int, Meta(ge=0, le=65535)]
-    facts: Annotated[tuple[Fact, ...], Meta(max_length=16)] = ()
+    facts: Annotated[tuple[Fact, ...], Meta(max_length=MOST_FACTS)] = ()
     notes: Annotated[tuple[Note, ...], Meta(max_length=16)] = ()
     target: Annotated[str, Meta(max_length=24)] = ""
     target_life: Annotated[int, Meta(ge=0, le=(1 << 62) - 1)] = 0
@@ -108,6 +109,7 @@
     "FAN_OUT",
     "HEAD",
     "LONGEST",
+    "MOST_FACTS",
     "VERSION",
     "Codec",
     "Dial",
--- a/gorsefork/fleet/view.py
+++ b/gorsefork/fleet/view.py
@@ -47,8 +47,8 @@
     suspicion: Suspicion | None = None
     lost: bool = False  # a suspect whose time is over here
     heard_at: int | None = None  # the last datagram of its own
-    knock_at: int = 0
-    knocks: int = 0
+    retry_at: int = 0  # when one that is unreachable is pinged next
+    retries: int = 0
     notes: dict[tuple[str, str], Note] = field(default_factory=dict)
     mark: int = 0  # what the view's digest holds of it
 
@@ -136,7 +136,7 @@
         if member.fact.state != fact.state or member.fact.life != fact.life or member.lost:
             member.since, member.by = now, by
         if fact.rank[:3] != member.fact.rank[:3] or fact.state != State.SUSPECT:
-            member.suspicion, member.lost, member.knocks = None, False, 0
+            member.suspicion, member.lost, member.retries = None, False, 0
         member.fact = fact
         if member.suspicion is None or member.lost:
             self.suspects.discard(fact.name)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -22,9 +22,10 @@
     State,
     dialled,
     packed,
+    replaced,
     shown_dial,
 )
-from gorsefork.fleet.membership import SECOND, Pace, replaced
+from gorsefork.fleet.membership import SECOND, Pace
 from gorsefork.fleet.messages import LONGEST, VERSION, Codec, Message, Refused
 from gorsefork.fleet.placing import order
 from gorsefork.fleet.spread import MOST_WAITING, Spread, times
@@ -143,7 +144,7 @@
         ("site", KEY, 0, None),
     ],
 )
-def test_a_fellow_that_does_not_fit_is_told_by_its_reason(
+def test_a_peer_that_does_not_fit_is_told_by_its_reason(
     site: str, key: bytes, version: int, reason: str | None
 ) -> None:
     here, there = Codec("site", KEY), Codec(site, key, version)
@@ -178,7 +179,9 @@
     world = grown(8, 3)
     world.loss = 0.4
     world.run(90.0)
-    assert max(core.patience() for core in world.cores()) < 0.15 * SECOND  # trips take 10 ms at the most
+    assert (
+        max(core.prober.patience() for core in world.cores()) < 0.15 * SECOND
+    )  # trips take 10 ms at the most
 
 
 def test_any_bit_turned_is_seen() -> None:
@@ -274,7 +277,7 @@
     before, incarnation = core.counts.missed, core.fact.incarnation
     place.stopped = False
     core.wake(world.us(place))
-    assert not core.settled() and "stopped" in core.lacking()[0] and core.stalled
+    assert not core.settled() and "stopped" in core.lacking()[0] and core.node.stalled
     world.resume("n2")
     world.run_until(world.one_view, settle(world))
     assert core.fact.incarnation > incarnation and core.counts.missed == before
@@ -287,12 +290,12 @@
     world.kill("n1")
     world.run_until(lambda: bool(world.happened("suspect", "n1", at="n0")), 30.0)
     core = world.core("n0")
-    (before,) = [suspicion.deadline() for _, suspicion in core.suspects()]
+    (before,) = [suspicion.deadline() for _, suspicion in core.suspicions.running()]
     world.stop("n0")
     world.run(20.0)
     core.wake(world.us(world.places["n0"]))
     assert world.shown("n0", "n1") == "suspect"
-    (after,) = [suspicion.deadline() for _, suspicion in core.suspects()]
+    (after,) = [suspicion.deadline() for _, suspicion in core.suspicions.running()]
     assert after - before > 18 * SECOND
     world.resume("n0")
 
@@ -444,7 +447,7 @@
     world.run_until(world.one_view, 30.0)
     world.start("n3", called="n1")
     world.run_until(lambda: old.followed and world.one_view(["n0", "n1", "n2"]), settle(world))
-    assert old.bumps == 0  # it never took a number beyond its successor's
+    assert old.own_life.bumps == 0  # it never took a number beyond its successor's
 
 
 @pytest.mark.parametrize("error", [-3600, 3600])
@@ -673,5 +676,5 @@
     if not world.cores():
         world.start("n0")
     names = [core.name for core in world.cores()]
-    knocks = 64.0 * 1.25  # s until one that is away is asked again at the latest
-    world.run_until(lambda: world.one_view(names), settle(world) + knocks)
+    longest_retry = 64.0 * 1.25  # s until one that is away is asked again at the latest
+    world.run_until(lambda: world.one_view(names), settle(world) + longest_retry)
