Split the acceptor by job: exchange, client connection, admission, listener

Ruled out: an admission table that the acceptor holds rather than extends: the same calls by one more step a request. The table of layers: wire/http1 may import memory, as the agreed table of rooms says; its row had been narrower while only a client stood there. Tests patch the constants where they now stand, and check the same.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -23,12 +23,13 @@
 from gorsefork.memory.duty import Duty
 from gorsefork.memory.ports import Log
 from gorsefork.memory.registry import Registry
-from gorsefork.wire.acceptor import LAST_HEADS, Acceptor
+from gorsefork.wire.acceptor import Acceptor
 from gorsefork.wire.backends import BackendPool
 from gorsefork.wire.counter import CounterClient
 from gorsefork.wire.datagrams import PeerSocket
 from gorsefork.wire.discovery import BadList, DiscoveryWatch, read_list
 from gorsefork.wire.fronts.operators import OperatorsFront
+from gorsefork.wire.http1.connection import LAST_HEADS
 from gorsefork.wire.platform import PlatformFront
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/gorsefork/wire/http1/exchange.py
@@ -0,0 +1,83 @@
+"""One HTTP/1.1 request and its one answer, and what a front is asked for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+
+from gorsefork.memory.call import Answer, Call, Denied, Failed, Overload, Served, Short
+from gorsefork.memory.flow import Flow
+
+MOST_BODY = 33 << 20  # bytes of a request's body, where it is passed on as it comes; else ``MOST_HELD``
+UPLOAD_MOST = 600_000_000  # us for a body in all: 32 MB take 512 s at 64 kB/s
+
+BODILESS = frozenset((b"GET", b"HEAD"))
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request on one connection. ``reply`` is its one answer, ``left`` rings if the client goes first."""
+
+    method: str
+    target: str
+    headers: dict[bytes, bytes]
+    came_at: int
+    reply: Callable[[Answer], None]
+    body: bytearray = field(default_factory=bytearray)
+    call: Call | None = None
+    left: Callable[[], None] = lambda: None
+    answered: bool = False
+    flow: Flow | None = None  # its body, where that is passed on as it comes
+    discarded: int = 0  # bytes of that, so far
+
+    def text(self, name: bytes) -> str:
+        return self.headers.get(name, b"").decode("latin-1")
+
+    def deny(self, status: int, *headers: tuple[str, str]) -> None:
+        self.reply(Denied(status, headers))
+
+
+def fault_of(head: h11.Request, headers: Mapping[bytes, bytes], most: int) -> int:
+    """The status for a head that no front may take, 0 if there is none.
+
+    Guards against a request hidden in the body of another: two lengths are one too many, and a server that
+    reads no body of a GET (RFC 9110, 9.3.1 gives it no meaning) runs what stands there as the next request.
+    """
+    if head.http_version not in (b"1.0", b"1.1"):
+        return 505
+    chunked, length = b"transfer-encoding" in headers, headers.get(b"content-length")
+    if chunked and length is not None:
+        return 400
+    if length is not None and int(length) > most:
+        return 413
+    has_body = chunked or (length is not None and int(length) > 0)
+    return 400 if has_body and head.method in BODILESS else 0
+
+
+class Front(Protocol):
+    """What the acceptor asks of a front."""
+
+    passes: bool  # whether bodies beyond ``MOST_HELD`` are passed on as they come
+    whole_seconds: bool  # whether ``Retry-After`` must be a whole number
+
+    def begin(self, exchange: Exchange) -> None:
+        """Take a whole request; its ``reply`` comes now or later, exactly once."""
+        ...
+
+
+def to_http(answer: Short, whole_seconds: bool) -> tuple[int, Headers, bytes]:
+    if isinstance(answer, Served):  # a backend may use any bytes there, so they go back as they came
+        return 200, [(b"Content-Type", answer.media.encode("latin-1"))] if answer.media else [], answer.body
+    if isinstance(answer, Overload):
+        if answer.retry_after <= 0:
+            return 503, [], b""
+        advice = str(-int(-answer.retry_after // 1)) if whole_seconds else f"{answer.retry_after:.3f}"
+        return 503, [(b"Retry-After", advice.encode())], b""
+    if isinstance(answer, Failed):
+        return 502, [], b""
+    return answer.status, [(name.encode(), value.encode()) for name, value in answer.headers], answer.body
--- a/gorsefork/wire/introspection.py
+++ b/gorsefork/wire/introspection.py
@@ -16,7 +16,7 @@
 from gorsefork.memory.call import Call, Denied, Overload
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.delegation import Delegation
-from gorsefork.wire.acceptor import Exchange
+from gorsefork.wire.http1.exchange import Exchange
 from gorsefork.wire.introspection_client import IntrospectionClient, Unavailable
 from gorsefork.wire.platform import TRACE, BadCall, CallReader, metering, whole
 from gorsefork.wire.tokens import BadToken, Claims, NoToken, Tenant, Tenants, TenantsUnavailable, bearer
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -8,7 +8,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.memory.call import Call, Denied, Overload
-from gorsefork.wire.acceptor import UPLOAD_MOST, Exchange
+from gorsefork.wire.http1.exchange import UPLOAD_MOST, Exchange
 
 IDS = itertools.count(1)
 CUSTOMER = re.compile(r"[0-9a-fA-F]{16}")
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,7 +11,8 @@
 import trio
 from scenario import World, scenario
 
-from gorsefork.wire.acceptor import FRESH, PENALTY, SILENT_AFTER
+from gorsefork.wire.admission import FRESH, SILENT_AFTER
+from gorsefork.wire.http1.connection import PENALTY
 from gorsefork.wire.stream import Stream
 
 KEY = "Idempotency-Key=k1"
@@ -107,7 +108,7 @@
                 box send 200 | in hand
                 c1 expect 200 | in hand""")
 
-        with mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 60_000_000):
+        with mock.patch("gorsefork.wire.admission.IDLE_FOR", 60_000_000):
             scenario("", then=crowd)
 
     def test_many_that_come_at_once_are_not_closed_before_they_can_ask(self) -> None:
@@ -127,9 +128,9 @@
 
     def test_silence_and_half_a_request_end_their_connections(self) -> None:
         with (
-            mock.patch("gorsefork.wire.acceptor.IDLE_FOR", 100_000),
-            mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.3),
-            mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.1),
+            mock.patch("gorsefork.wire.admission.IDLE_FOR", 100_000),
+            mock.patch("gorsefork.wire.http1.connection.REQUEST_WITHIN", 0.3),
+            mock.patch("gorsefork.wire.http1.connection.BODY_GAP", 0.1),
         ):
             scenario("""
                 c1 send raw
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,8 +22,10 @@
 from gorsefork.decisions import interface as i
 from gorsefork.memory.registry import Host, News
 from gorsefork.wire import discovery
-from gorsefork.wire.acceptor import LEAVING, Acceptor, ClientConnection
+from gorsefork.wire.acceptor import Acceptor
+from gorsefork.wire.admission import LEAVING
 from gorsefork.wire.backends import REST_FOR, Backend, Link
+from gorsefork.wire.http1.connection import ClientConnection
 from gorsefork.wire.stream import Stream, connect
 
 HEAD = "".join(f"{name}: {value}\\n" for name, value in DEFAULTS.items())
@@ -147,7 +149,7 @@
             nonsense = "GET /nothing HTTP/1.1\\nHost: x\\nConnection: close\\n\\n" * 2
             with (
                 before(acceptor.front, "begin", lambda: reset(world.clients.pop("c1"))),
-                mock.patch("gorsefork.wire.acceptor.PENALTY", 0.0),
+                mock.patch("gorsefork.wire.http1.connection.PENALTY", 0.0),
             ):
                 await world.play(f"c1 send raw {nonsense}")
                 await gone(acceptor, connection)
@@ -201,8 +203,8 @@
         async def then(world: World) -> None:
             acceptor = world.ingresses[0].acceptors[0]
             with (
-                mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.1),
-                mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.05),
+                mock.patch("gorsefork.wire.http1.connection.REQUEST_WITHIN", 0.1),
+                mock.patch("gorsefork.wire.http1.connection.BODY_GAP", 0.05),
             ):
                 await world.play("c1 send raw POST /buy HTTP/1.1\\nHost: x\\nContent-Length: 900\\n\\nhalf")
                 await until(lambda: len(acceptor.connections) == 1)
@@ -250,7 +252,7 @@
     def test_one_that_does_not_read_its_answer_is_ended_and_the_others_are_served(self) -> None:
         async def then(world: World) -> None:
             acceptor = world.ingresses[0].acceptors[0]
-            with mock.patch("gorsefork.wire.acceptor.FLUSH_WITHIN", 0.2):
+            with mock.patch("gorsefork.wire.http1.connection.FLUSH_WITHIN", 0.2):
                 await world.play("c1 send raw")
                 await until(lambda: len(acceptor.connections) == 1)
                 (connection,) = acceptor.connections
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -9,7 +9,7 @@
 
 from gorsefork.memory.clock import Clock
 from gorsefork.settings import to_settings
-from gorsefork.wire.acceptor import Exchange
+from gorsefork.wire.http1.exchange import Exchange
 from gorsefork.wire.introspection import IntrospectionFront, stays_in_place
 from gorsefork.wire.tokens import TableOfTenants
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,7 +18,7 @@
     "configuration": ("fleet",),
     "grpc": ("decisions.interface",),
     "storage": ("memory", "plans", "usage", "configuration"),
-    "wire.http1": ("wire.stream",),
+    "wire.http1": ("memory", "wire.stream"),
     "wire.http2": (),
     "wire.services": ("memory", "plans", "usage", "fleet", "configuration", "wire.http1"),
     "wire.fronts": ("memory", "plans", "fleet", "configuration", "wire.acceptor", "wire.stream"),
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -206,8 +206,8 @@
                 o1 expect +OK relayed.buy=0 open_requests=0""")
 
         with (
-            mock.patch("gorsefork.wire.acceptor.REQUEST_WITHIN", 0.2),
-            mock.patch("gorsefork.wire.acceptor.BODY_GAP", 0.1),
+            mock.patch("gorsefork.wire.http1.connection.REQUEST_WITHIN", 0.2),
+            mock.patch("gorsefork.wire.http1.connection.BODY_GAP", 0.1),
         ):
             scenario("", then=then)
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,7 +8,7 @@
 from scenario import World, scenario
 
 from gorsefork.memory.registry import MOST_SEEN, Host, News, Registry
-from gorsefork.wire.acceptor import AWAY_BY, AWAY_FROM
+from gorsefork.wire.admission import AWAY_BY, AWAY_FROM
 from gorsefork.wire.fronts.operators import MOST_CALLERS, MOST_LINE
 
 KEY = "Idempotency-Key=k1"
