Bound what one step looks at, so that a choice before 5,300 servers costs what it does before 53

Cause, by a profile of the module alone (129 requests a second in virtual time, 2 to 20 ms an answer, 5,300 servers, 620 gatekeepers): another attempt drew all servers (mean 37 ms; 0.27 ms at 53), each control period added up the warmth of all and each assessment looked at all (mean 10.6 ms, 24 ms at most), and each change of 600 entries sorted and placed all (11 ms). Ruled out: drawing further attempts from the lasting few alone (where these are bad, or a repeat is bound to a cell, there would be none), a smaller bound than 256 (fleets of 200 would decide otherwise than today). Beyond that a further attempt, and a first one that finds none of its few fit, adds 64 by chance of all that the request may have (of its zone or cell where its repeat is bound to one). Strength is added up by a sample of 256, silence and medians come from the servers in use, 256 a look in turn, and the few grow by 512 steps at most. The ring is kept sorted and changed entry by entry; a place on it is looked up where it is needed.

--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from gorsefork.decisions import interface as i
-from gorsefork.decisions.state import Accounts, Attempt, Backlog, Ledger, Line, Note, Server, Ticket, merge
+from gorsefork.decisions.state import Accounts, Attempt, Backlog, Ledger, Line, Note, Server, Servers, Ticket
 
 PERIOD, PERIODS_AN_AIM = 0.25, 10  # s, the longest control period T (the paper's); shortest aim / T at least
 GAIN, INTEGRAL_TIME = 1.0, 1.0  # K and Ti (s) of the PI law: an error is made good within about Ti
@@ -30,6 +30,7 @@
 FADE, ASSESS = 0.99, 0.5  # of an unsampled server's latency kept at each look; s between looks
 GOLDEN, TURN, ABREAST = 0.6180339887, 1 / 3, 4.0  # of a turn, a place; of the fall window, a token; tokens
 CHOICES, CHOICES_MOST, COVER = 10, 20, 14  # servers looked at for one choice; gatekeepers that look at one
+LOOKS, WIDER = 256, 64  # servers that one step looks at; more than the few, where these are unfit
 CALLS_START, CALLS_LEAST = 20.0, 1.0  # counter calls a second: before anything is learned; when it is silent
 CALLS_ALL, CALLS_ALL_LEAST = 300.0, 200.0  # the same by all gatekeepers together, if that is less each
 CALLS_RISE, CALLS_GAIN = 20.0, 0.03  # calls a second gained in a second of answers; of the rate by one
@@ -45,13 +46,12 @@
     return cls.effect == "repeatable" or (cls.effect == "by_key" and cls.scope == "all")
 
 
-class Fleet:
-    """The servers, which of them are fit for work, and the choice of one."""
+class Fleet(Servers):
+    """Which of the servers are fit for work, and the choice of one. A step looks at a bounded number."""
 
     def __init__(self, settings: i.Settings, rng: random.Random) -> None:
+        super().__init__(GOLDEN * settings.me % 1.0)
         self.settings, self.rng = settings, rng
-        self.servers: dict[str, Server] = {}
-        self.ready: list[Server] = []  # a ring that all go round the same way, each from its own place
         self.barred, self.overtook = 0.0, -math.inf  # share of new connections that failed; as a server's
         self.carry, self.warm_sends, self.pace, self.errors = 0.0, 0.0, 1.0, 0.0
         self.service = {n: (c.aim / 8, c.aim / 16) for n, c in enumerate(settings.classes)}  # mean, deviation
@@ -61,7 +61,7 @@
     def restart(self, server: Server, since: float) -> None:
         """Guards against pushing over what has just come back, told or only seen."""
         server.cold_from = max(server.cold_from, since)
-        server.credit = GOLDEN * server.place % 1.0  # all that look at it have a first token in turn
+        server.credit = GOLDEN * self.place(server) % 1.0  # all that look at it have a first token in turn
         server.silent, server.errors, server.pace = False, 0.0, self.pace
 
     def warmth(self, server: Server, now: float) -> float:
@@ -72,7 +72,7 @@
     def cold_room(self, server: Server, now: float) -> bool:
         """Slow start, in whole tokens. So few deal them that their rates and one each fit the budget."""
         warmth = self.warmth(server, now)
-        if warmth >= 1.0 or server.place >= self.few:  # it has no part in those it skips
+        if warmth >= 1.0 or (place := self.place(server)) >= self.few:  # it has no part in those it skips
             return warmth >= 1.0
         lookers = self.settings.gatekeepers * self.few / len(self.ready)  # that deal its part
         many = lookers > ABREAST  # so that what all have saved might come at once: tokens lapse
@@ -81,7 +81,7 @@
         if many:
             budget = guards.fall_multiple * able * lookers * window
             spare = budget + 2.0 * math.sqrt(budget) - rate * lookers * (1.0 + TURN) * window
-            if server.place >= (places := max(1, int(min(1.0, spare / lookers) * self.few))):
+            if place >= (places := max(1, int(min(1.0, spare / lookers) * self.few))):
                 return False
             rate *= self.few / places
         credit = server.credit + rate * max(0.0, now - max(server.filled_at, server.cold_from))
@@ -91,26 +91,22 @@
         return server.credit >= 1.0
 
     def listed(self, news: i.ServerList, now: float) -> None:
-        merge(self.servers, news)
-        ring = sorted((s for s in self.servers.values() if s.entry.state == "ready"), key=lambda s: s.mark)
-        at = int(GOLDEN * self.settings.me % 1.0 * len(ring))  # so that as many begin at any stretch of it
-        self.ready = ring[at:] + ring[:at]
-        for place, server in enumerate(self.ready):
-            server.place = place
-            if server.entry.started > max(0.0, server.cold_from):  # a new process, maybe under an old name
-                self.restart(server, server.entry.started)
+        for server in self.merge(news):
+            if server.on_ring and server.entry.started > max(0.0, server.cold_from):
+                self.restart(server, server.entry.started)  # a new process, maybe under an old name
         self.narrow(now)
 
     def assess(self, now: float) -> None:
-        """Peers' medians, silence and suspicion, now and then: it looks at every server."""
-        period, live = now - self.assessed_at, self.ready
+        """Peers' medians, silence and suspicion, now and then: of all, in a large fleet of those in use."""
+        period = now - self.assessed_at
         if period < ASSESS:
             return
         self.assessed_at = now
-        warm = sum(self.warmth(s, now) >= 1.0 for s in live[: self.few])  # those that its sends go to
+        warm = self.total(lambda s: self.warmth(s, now) >= 1.0, self.few, LOOKS)  # those that its sends go to
         rate, self.warm_sends = self.warm_sends / period / max(1, warm), 0.0
         self.carry += min(1.0, SMOOTH * period / PERIOD) * (rate - self.carry)
         self.barred *= max(0.0, 1.0 - period / FORGET)
+        live = self.turn(LOOKS) if len(self.ready) > LOOKS else self.ready
         self.pace = median_high([s.pace for s in live] or [1.0])
         self.errors = median_high([s.errors for s in live] or [0.0])
         for server in live:  # no answer of any kind since long before: not slow but silent
@@ -120,25 +116,34 @@
             elif not server.open and now - server.sampled_at > FORGET:  # or what mended would never be tried
                 server.pace = min(FADE * server.pace, self.pace)
                 server.errors = min(server.errors, self.errors)
+                self.used.pop(server, None)
         self.narrow(now)
 
     def narrow(self, now: float) -> None:
-        """So many in its order that the fit among them bear its part: a cold one counts by its warmth."""
-        left, self.few = max(CHOICES, COVER * len(self.ready) / self.settings.gatekeepers), 0
-        while left > 0.0 and self.few < len(self.ready):
-            server, self.few = self.ready[self.few], self.few + 1
-            left -= 0.0 if self.suspect(server, now) else self.warmth(server, now)
+        """So many in its order that the fit among them bear its part, a cold one by its warmth; bounded."""
+        many, self.few = len(self.ready), 0
+        left = min(many, max(CHOICES, COVER * many / self.settings.gatekeepers))
+        each = max(1, math.ceil(left / LOOKS))
+        while left > 0.0 and self.few < min(many, 2 * LOOKS * each):
+            server, self.few = self.ready[self.few], min(many, self.few + each)
+            left -= 0.0 if self.suspect(server, now) else each * self.warmth(server, now)
 
     def suspect(self, server: Server, now: float) -> bool:
         """Relative to its peers, so that a slowdown of all ejects nobody; silence alone is absolute."""
-        slow = slowness(server, now) > SLOW_MULTIPLE * max(self.pace, 0.5)
+        slow = server.slowness(now) > SLOW_MULTIPLE * max(self.pace, 0.5)
         failing = server.errors > self.errors + ERROR_SHARE
         return slow or failing or server.silent or server.barred_until > now or server.entry.state != "ready"
 
-    def drawn(self, ticket: Ticket) -> list[Server]:
-        """A lasting few, whose connections and figures keep, in a turn by chance; all for another attempt."""
-        some = self.ready[: None if ticket.attempts else self.few]
-        return self.rng.sample(some, len(some) if ticket.attempts else min(len(some), CHOICES_MOST))
+    def drawn(self, ticket: Ticket, now: float) -> list[Server]:
+        """A lasting few, whose connections and figures keep, in a turn by chance; all for another attempt. In
+        a large fleet, for that or where none of those is fit, some more of all that the request may have."""
+        if ticket.attempts and len(self.ready) <= LOOKS:
+            return self.rng.sample(self.ready, len(self.ready))
+        drawn = [self.ready[n] for n in self.rng.sample(range(self.few), min(self.few, CHOICES_MOST))]
+        if len(self.ready) > LOOKS and (ticket.attempts or all(self.suspect(s, now) for s in drawn)):
+            more = self.group(ticket.cls.scope, ticket.may_have_run())
+            drawn += self.rng.sample(more, min(len(more), WIDER))
+        return drawn
 
     def pick(self, ticket: Ticket, now: float) -> Server | None:
         """The least expected latency of the fit that were drawn, else the suspects. Now and then one of those
@@ -146,7 +151,7 @@
         best, least = None, math.inf
         trial = not ticket.attempts and self.settings.limits.second_copies and may_repeat(ticket.cls)
         tried, kind = {a.server for a in ticket.attempts}, (ticket.request.cls, ticket.request.plan)
-        for server in self.drawn(ticket):
+        for server in self.drawn(ticket, now):
             cost = self.cost(server, now) * (4.0 if server in tried else 1.0)
             if server.full and server.full.get(kind, -math.inf) > now:
                 cost *= 1e3
@@ -177,16 +182,10 @@
         barred = 0.0 if self.linked(server, now) else self.barred / (1.05 - self.barred)
         idle = 1.0 if self.warmth(server, now) >= 1.0 else COLD_FIRST
         load = idle + len(server.open) * self.settings.gatekeepers / (weight * 2.0)
-        cost = slowness(server, now) * load * crossing / max(0.05, 1.0 - server.errors) ** 2
+        cost = server.slowness(now) * load * crossing / max(0.05, 1.0 - server.errors) ** 2
         return cost + barred * self.settings.limits.connect_timeout / self.work
 
 
-def slowness(server: Server, now: float) -> float:
-    """Latency against the class's, or the oldest open attempt's age: it shows before the answer does."""
-    sent_at, expected = server.oldest(now)
-    return max(server.pace, (now - sent_at) / expected / 3.0)
-
-
 def may_send(ticket: Ticket, server: Server, now: float, settings: i.Settings) -> bool:
     """Whether a further attempt at this server keeps the effect rules. Every send passes here."""
     limits, scope, here = settings.limits, ticket.cls.scope, server.entry
@@ -261,13 +260,12 @@
         self.shape(plan)
 
     def shape(self, plan: i.Plan) -> None:
-        spread = self.spread
-        self.slots = max(1, (plan.parallel - self.place + spread - 1) // spread)
+        self.slots = max(1, (plan.parallel - self.place + self.spread - 1) // self.spread)
         self.span = min(plan.burst / plan.rate if plan.rate else 1.0, NAME_LIFE_MAX / 2.5)
         self.phase = self.span * int(self.tag[:4], 16) / 65536.0  # or all customers would ask at once
         # s that adds may wait, and that a part is good for; who sees all tries needs few calls
-        self.flush = min(1.0, FLUSH_SHARE * self.span) if spread > 1 else FLUSH_ALL * self.span
-        self.kept = RESERVE * plan.burst if spread > 1 else 0.0
+        self.flush = min(1.0, FLUSH_SHARE * self.span) if self.spread > 1 else FLUSH_ALL * self.span
+        self.kept = RESERVE * plan.burst if self.spread > 1 else 0.0
 
     def change(self, plan: i.Plan, now: float) -> None:
         """Other terms in the middle of a burst: what is spent stays spent, of the quota and of the ceiling,
@@ -735,6 +733,7 @@
         ticket.attempts.append(Attempt(server, self.now, server.entry.zone, server.entry.cell))
         expected = self.fleet.service[request.cls][0]
         server.open[(request.id, number)] = (self.now, expected)
+        self.fleet.used[server] = None
         if self.fleet.warmth(server, self.now) >= 1.0:
             self.fleet.warm_sends += 1
         else:
@@ -779,10 +778,9 @@
 
     def outcome(self, event: i.Outcome) -> None:
         ticket = self.tickets.get(event.id)
-        known = ticket.attempts if ticket else []
-        if ticket is None or not 0 <= event.attempt < len(known) or not known[event.attempt].open:
+        attempt = ticket.open_attempt(event.attempt) if ticket else None
+        if ticket is None or attempt is None:
             return
-        attempt = known[event.attempt]
         attempt.open, attempt.may_have_run = False, event.status not in NEVER_RAN
         self.learn(ticket, attempt, event)
         ticket.lane.open -= attempt.counted
@@ -885,7 +883,7 @@
         """A control period ends: learn, allow, release what is held, set the chances of the next arrivals."""
         fleet, premium, basic = self.fleet, self.premium, self.basic
         fleet.assess(self.now)
-        ready = sum(fleet.warmth(server, self.now) for server in fleet.ready)  # a cold one bears less
+        ready = fleet.total(lambda s: fleet.warmth(s, self.now), len(fleet.ready), LOOKS)  # cold: less
         self.capacity.tick(premium.open + basic.open, ready, self.period)
         target = self.capacity.target
         premium.allow(target, self.period, self.rng.random())
--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -4,10 +4,13 @@
 
 import heapq
 import math
+from bisect import bisect_left, insort
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2s
 from itertools import islice
+from operator import attrgetter
 from struct import Struct
 from typing import TYPE_CHECKING, NamedTuple
 from zlib import crc32
@@ -19,12 +22,33 @@
 
 
 NOTE = Struct("<c8sBfI")
+MARK = attrgetter("mark")
 IDLE_SPANS, IDLE_ACCOUNT = 2.5, 5.0  # an unused account is kept for its count's life, and s more
 
 
 class Server:
     """A server's open work, learned speed and health, all from this gatekeeper's own traffic."""
 
+    __slots__ = (
+        "answered_at",
+        "barred_until",
+        "cold_from",
+        "credit",
+        "entry",
+        "errors",
+        "filled_at",
+        "full",
+        "mark",
+        "on_ring",
+        "open",
+        "overtook",
+        "pace",
+        "sampled_at",
+        "silent",
+        "tried_at",
+        "unmet",
+    )
+
     def __init__(self, entry: i.ServerEntry) -> None:
         self.entry = entry
         self.open: dict[tuple[str, int], tuple[float, float]] = {}  # attempt -> sent at, latency to expect
@@ -34,26 +58,107 @@
         self.barred_until = -math.inf  # no connection was had: passed by till then
         self.overtook = -math.inf  # when the latest attempt that has its answer was sent
         self.unmet = 0  # connections in a row that were not had
-        self.mark, self.place = crc32(entry.server.encode()), 0  # on the ring; from this place
+        self.mark, self.on_ring = crc32(entry.server.encode()), False  # where on the ring; whether
         self.full: dict[tuple[int, int], float] = {}  # class and plan turned away -> until when
 
     def oldest(self, now: float) -> tuple[float, float]:
         """When the oldest open attempt was sent, and the latency to expect of it."""
         return next(iter(self.open.values()), (now, 1.0))
 
-
-def merge(servers: dict[str, Server], news: i.ServerList) -> None:
-    """Bring the table up to date; what a complete list leaves out is gone."""
-    if news.kind in ("full", "cached"):
-        listed = {e.server for e in news.entries}
-        for name, server in servers.items():
+    def slowness(self, now: float) -> float:
+        """Latency against the class's, or the oldest open attempt's age: it shows before the answer does."""
+        sent_at, expected = self.oldest(now)
+        return max(self.pace, (now - sent_at) / expected / 3.0)
+
+
+class Servers:
+    """The servers by name, and the ready ones as a ring that all gatekeepers go round the same way.
+
+    ``start``: the share of the ring at which this gatekeeper's own order begins.
+    """
+
+    def __init__(self, start: float) -> None:
+        self.start = start
+        self.servers: dict[str, Server] = {}
+        self.ring: list[Server] = []  # the ready ones, by their marks
+        self.ready: list[Server] = []  # the same, from this gatekeeper's own place on
+        self.leaving: list[Server] = []  # gone, with attempts open
+        self.used: dict[Server, None] = {}  # sent to of late; those looked at longest ago first
+        self.groups: dict[tuple[str, int], list[Server]] = {}  # of the ready ones, once asked for
+
+    def merge(self, news: i.ServerList) -> list[Server]:
+        """Bring table and ring up to date; what a complete list leaves out is gone. The servers it names."""
+        changed = self.left_out(news) if news.kind in ("full", "cached") else []
+        for entry in news.entries if news.kind != "failed" else ():
+            if (server := self.servers.get(entry.server)) is None:
+                server = self.servers[entry.server] = Server(entry)
+            server.entry = entry
+            changed.append(server)
+        changed = list(dict.fromkeys(changed))
+        gone = [s for s in dict.fromkeys((*self.leaving, *changed)) if s.entry.state == "gone"]
+        for server in gone:
+            if not server.open:
+                del self.servers[server.entry.server]
+                self.used.pop(server, None)
+        self.leaving = [server for server in gone if server.open]
+        self.order(changed)
+        return changed
+
+    def left_out(self, news: i.ServerList) -> list[Server]:
+        """Those that a complete list does not name: gone."""
+        listed, left = {entry.server for entry in news.entries}, []
+        for name, server in self.servers.items():
             if name not in listed:
                 old = server.entry
                 server.entry = i.ServerEntry(name, "gone", old.started, old.kind, old.zone, old.cell)
-    for entry in news.entries if news.kind != "failed" else ():
-        servers.setdefault(entry.server, Server(entry)).entry = entry
-    for name in [n for n, s in servers.items() if s.entry.state == "gone" and not s.open]:
-        del servers[name]
+                left.append(server)
+        return left
+
+    def order(self, changed: list[Server]) -> None:
+        """The ring after a change, at a cost of what has changed."""
+        for server in changed:
+            ready = server.entry.state == "ready"
+            if ready and not server.on_ring:
+                insort(self.ring, server, key=MARK)
+            elif server.on_ring and not ready:
+                del self.ring[self.ring.index(server, bisect_left(self.ring, server.mark, key=MARK))]
+            server.on_ring = ready
+        at = self.begin()
+        self.ready, self.groups = self.ring[at:] + self.ring[:at], {}
+
+    def begin(self) -> int:
+        """Where on the ring this gatekeeper's order begins: as many begin at any stretch of it."""
+        return int(self.start * len(self.ring))
+
+    def place(self, server: Server) -> int:
+        """Of a server among ``ready``, or where it would stand there."""
+        at = bisect_left(self.ring, server.mark, key=MARK)
+        return (at - self.begin()) % max(1, len(self.ring))
+
+    def total(self, value: Callable[[Server], float], most: int, looks: int) -> float:
+        """The sum of a value over the first ``most`` ready ones; beyond ``looks`` of them, by every second,
+        third, ... one."""
+        each = max(1, math.ceil(most / looks))
+        return each * sum(map(value, self.ready[:most:each]))
+
+    def turn(self, looks: int) -> list[Server]:
+        """The next of those sent to of late: at most ``looks``, each in its turn."""
+        turn = list(islice(self.used, looks))
+        for server in turn:
+            del self.used[server]
+            self.used[server] = None
+        return turn
+
+    def group(self, scope: i.Scope, ran: list[Attempt]) -> list[Server]:
+        """The ready ones in the zone or cell that a request is bound to by the attempts that may have run."""
+        if scope == "all" or not ran:
+            return self.ready
+        if not self.groups:
+            for server in self.ready:
+                entry = server.entry
+                self.groups.setdefault(("zone", entry.zone), []).append(server)
+                self.groups.setdefault(("cell", entry.cell), []).append(server)
+        return self.groups.get((scope, ran[0].zone if scope == "zone" else ran[0].cell), [])
 
 
 @dataclass(slots=True, eq=False)
@@ -115,6 +220,11 @@
     def open_attempts(self) -> int:
         return sum(a.open for a in self.attempts)
 
+    def open_attempt(self, number: int) -> Attempt | None:
+        """The attempt of that number, if there is one and it has not ended."""
+        known = 0 <= number < len(self.attempts) and self.attempts[number].open
+        return self.attempts[number] if known else None
+
     def may_have_run(self) -> list[Attempt]:
         return [a for a in self.attempts if a.may_have_run]
 
