Break the circle between handover and start, and test that no two files import each other

Ruled out: Ingress in a file of its own (it holds the handover), typing-only imports (the circle stays for the reader). Change, without other behaviour: handover states in a Protocol what it needs of the ingress. test_layers finds circles of any length over all imports, those for the type checker and within functions among them; decisions.rules <-> decisions.state and memory.call <-> memory.delegation are listed as known, and a circle that is gone must come off the list. In start, hear_fellow is hear_peer.

--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -9,7 +9,7 @@
 import select
 import socket
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import trio
 
@@ -17,16 +17,48 @@
 from gorsefork.decisions.interface import PeerMessage
 from gorsefork.decisions.rules import NO, YES
 from gorsefork.decisions.state import Note
-from gorsefork.life.config import UNREADABLE
-from gorsefork.memory.registry import Host, News
+from gorsefork.life.config import UNREADABLE, Config
+from gorsefork.memory.clock import Clock
+from gorsefork.memory.deciding import Decider
+from gorsefork.memory.desk import Desk
+from gorsefork.memory.duty import Duty
+from gorsefork.memory.ports import Log
+from gorsefork.memory.registry import Host, News, Registry
+from gorsefork.wire.acceptor import Acceptor
+from gorsefork.wire.discovery import DiscoveryWatch
 from gorsefork.wire.services.succession import HELLO_WITHIN, VERSION, BadLink, Link, Message, Place
 
-if TYPE_CHECKING:
-    from gorsefork.life.start import Ingress
-
 UNSERVED, LOOK_EVERY = 1.0, 0.05  # s for which clients wait on the socket all the time: nobody takes there
 
 
+class Ingress(Protocol):
+    """This process's ingress, as far as a change of version concerns it. ``acceptors``: the socket of the
+    first one is shared with the other process."""
+
+    config: Config
+    clock: Clock
+    log: Log
+    ready: trio.Event
+    duty: Duty
+    desk: Desk
+    registry: Registry
+    watch: DiscoveryWatch
+    decider: Decider
+    acceptors: list[Acceptor]
+
+    def share_limits(self, shared: bool) -> None:
+        """Whether another process is this ingress too, so that each may hold half of its connections."""
+        ...
+
+    def begin_taking(self) -> None:
+        """Clients and peers come to this process from here on."""
+        ...
+
+    def cease_taking(self) -> None:
+        """Another process takes; this one finishes what it has."""
+        ...
+
+
 class Handover:
     """Both sides of it, for one process: first as the one that follows, later as the one that is followed."""
 
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -38,7 +38,7 @@
     from gorsefork.life.introspection_config import IntrospectionConfig
 
 CLIENT_SHARE, BACKEND_SHARE, SECOND_SHARE = 0.4, 0.3, 0.1  # of the descriptors
-OTHERS = 34  # descriptors for all else: listeners, operators, counter, discovery, fellows, the loop's own
+OTHERS = 34  # descriptors for all else: listeners, operators, counter, discovery, peers, the loop's own
 # Of the descriptors, clients without a request. Guards against a crowd that takes this ingress's time rather
 # than its places: with four times as many, those that ask nonsense on and on left too little for calls.
 IDLE_SHARE = 0.1
@@ -129,7 +129,7 @@
                 config.peers,
                 config.peers_all,
                 settings.me,
-                self.hear_fellow,
+                self.hear_peer,
                 config.listen_fd is not None,
             )
             if config.peer_listen
@@ -160,7 +160,7 @@
     def note(self, text: str) -> None:
         self.log(text, event="note")
 
-    def hear_fellow(self, message: i.PeerMessage) -> None:
+    def hear_peer(self, message: i.PeerMessage) -> None:
         self.decider.hear(message)
         if self.handover is not None:
             self.handover.pass_on(message)
@@ -208,7 +208,7 @@
         self.pool.most_links = int(sockets * BACKEND_SHARE)
 
     def begin_taking(self) -> None:
-        """Clients and fellow ingresses come to this process from here on."""
+        """Clients and peers come to this process from here on."""
         if not self.duty.closing or (self.handover is not None and self.handover.deserted()):
             self.acceptors[0].begin()
             self.acceptors[0].away(self.duty.away)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -4,7 +4,7 @@
 
 import ast
 import unittest
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1] / "gorsefork"
@@ -23,6 +23,8 @@
     "wire.services": ("memory", "plans", "usage", "fleet", "configuration", "wire.http1"),
     "wire.fronts": ("memory", "plans", "fleet", "configuration", "wire.acceptor", "wire.stream"),
 }
+# Files that import each other, though they should not; each comes off this list with its circle.
+KNOWN_CIRCLES = {("decisions.rules", "decisions.state"), ("memory.call", "memory.delegation")}
 NO_WIRE = ("h11", "h2", "socket", "ssl", "sqlite3", "selectors")
 NO_IO = (*NO_WIRE, "trio", "os", "pathlib", "time", "threading")  # what subsystems that decide may not touch
 NO_IO_ROOMS = ("decisions", "plans", "usage", "grpc", "fleet", "configuration")
@@ -36,6 +38,40 @@
             yield from (alias.name for alias in node.names)
 
 
+def module_name(path: Path) -> str:
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+
+
+def import_graph(files: Mapping[str, Path]) -> dict[str, set[str]]:
+    """By file, the files of this program that it names in an import, wherever that stands: at the top, in a
+    function, or for the type checker only. That a submodule runs its package first is not counted."""
+    graph: dict[str, set[str]] = {}
+    for name, path in files.items():
+        named = {each.removeprefix("gorsefork.") for each in imports(path) if each.startswith("gorsefork.")}
+        found = {each if each in files else each.rpartition(".")[0] for each in named}
+        graph[name] = found.intersection(files) - {name}
+    return graph
+
+
+def circles(graph: Mapping[str, set[str]]) -> set[tuple[str, ...]]:
+    """The largest sets of files that all reach each other, each in order of names."""
+    reached: dict[str, set[str]] = {}
+    for start in graph:
+        seen: set[str] = set()
+        waiting = list(graph[start])
+        while waiting:
+            name = waiting.pop()
+            if name not in seen:
+                seen.add(name)
+                waiting += graph[name]
+        reached[start] = seen
+    return {
+        tuple(sorted(other for other in reached[name] if name in reached[other]))
+        for name in graph
+        if name in reached[name]
+    }
+
+
 class Layers(unittest.TestCase):
     def test_each_room_imports_what_its_row_allows(self) -> None:
         for room, allowed in ROOMS.items():
@@ -60,6 +96,15 @@
                 for name in imports(path):
                     self.assertNotIn(name.partition(".")[0], NO_IO, f"{path.name} imports {name}")
 
+    def test_no_two_files_import_each_other(self) -> None:
+        files = {module_name(path): path for path in ROOT.rglob("*.py")}
+        self.assertIn("life.start", files)
+        self.assertEqual(circles(import_graph(files)), KNOWN_CIRCLES)
+
+    def test_a_circle_is_found_whatever_its_length_and_others_are_left_out(self) -> None:
+        graph = {"a": {"b"}, "b": {"c", "d"}, "c": {"a"}, "d": {"e"}, "e": {"f"}, "f": {"e"}, "g": {"a"}}
+        self.assertEqual(circles(graph), {("a", "b", "c"), ("e", "f")})
+
 
 if __name__ == "__main__":
     unittest.main()
