--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -19,11 +19,11 @@
 from gorsefork.decisions.state import Note
 from gorsefork.life.config import UNREADABLE, Config
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.commands import OperatorCommands
 from gorsefork.memory.deciding import Decider
-from gorsefork.memory.desk import Desk
-from gorsefork.memory.duty import Duty
 from gorsefork.memory.ports import Log
 from gorsefork.memory.registry import Host, News, Registry
+from gorsefork.memory.serving import ServingState
 from gorsefork.wire.acceptor import Acceptor
 from gorsefork.wire.discovery import DiscoveryWatch
 from gorsefork.wire.services.succession import HELLO_WITHIN, VERSION, BadLink, Link, Message, Place
@@ -39,8 +39,8 @@
     clock: Clock
     log: Log
     ready: trio.Event
-    duty: Duty
-    desk: Desk
+    serving: ServingState
+    commands: OperatorCommands
     registry: Registry
     watch: DiscoveryWatch
     decider: Decider
@@ -69,7 +69,7 @@
         self.next: Link | None = None  # to the one that is to follow
         self.taking = trio.Event()
         self.handed = False
-        ingress.desk.told.append(self.tell)
+        ingress.commands.listeners.append(self.tell)
 
     def tell(self, call: str) -> None:
         """An operator's call made here holds at the other process too."""
@@ -137,7 +137,7 @@
         registry.back.update({str(name): int(at) for name, at in hello["back"].items()})
         for name in {*registry.down, *registry.back}:
             registry.retell(name)
-        self.ingress.duty.send_away(bool(hello["away"]))
+        self.ingress.serving.send_away(bool(hello["away"]))
 
     async def follow(self) -> None:
         """Wait, once ready, until this process is the one that takes; then be the one that is followed."""
@@ -225,7 +225,7 @@
         return {
             "version": VERSION,
             "name": self.ingress.config.name,
-            "away": self.ingress.duty.away,
+            "away": self.ingress.serving.away,
             "seen": list(registry.seen),
             "down": registry.down,
             "back": registry.back,
@@ -254,7 +254,7 @@
             try:
                 while (message := await link.hear()) is not None:
                     if "say" in message:
-                        self.ingress.desk.hear(str(message["say"]))
+                        self.ingress.commands.apply(str(message["say"]))
                     elif "word" in message:
                         self.hear_word(message["word"])
                     else:
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -18,11 +18,11 @@
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import BadConfig, Config, read_config
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.commands import OperatorCommands
 from gorsefork.memory.deciding import Decider
-from gorsefork.memory.desk import Desk
-from gorsefork.memory.duty import Duty
 from gorsefork.memory.ports import Log
 from gorsefork.memory.registry import Registry
+from gorsefork.memory.serving import ServingState
 from gorsefork.wire.acceptor import Acceptor
 from gorsefork.wire.backends import BackendPool
 from gorsefork.wire.counter import CounterClient
@@ -92,8 +92,8 @@
         self.config, self.extra, self.second = config, extra, introspection is not None
         self.log: Log = extra.log if extra is not None else log
         settings, sockets = config.settings, config.sockets
-        self.clock, self.duty, self.ending = clock, Duty(), trio.Event()
-        self.ready = self.duty.ready
+        self.clock, self.serving, self.ending = clock, ServingState(), trio.Event()
+        self.ready = self.serving.ready
         self.decider = Decider(settings, config.seed, clock, self.note)
         self.decider.sites += config.sites
         self.decider.kinds += config.kinds
@@ -138,7 +138,7 @@
         self.decider.backends, self.decider.discovery = self.pool, self.watch
         self.decider.counter, self.decider.peers = self.counter or absent, self.peers or absent
         front = PlatformFront(
-            settings, self.decider.take, self.decider.gone, self.ready.is_set, self.duty.healthy
+            settings, self.decider.take, self.decider.gone, self.ready.is_set, self.serving.healthy
         )
         most = self.most_clients(sockets)
         self.acceptors = [
@@ -148,9 +148,11 @@
             self.acceptors.append(self.second_front(introspection, settings, sockets))
         if extra is not None:
             extra.attach(self.decider, self.ready.is_set)
-        self.duty.heed += [acceptor.away for acceptor in self.acceptors]
-        self.desk = Desk(self.duty, self.registry, self.decider.figures, self.decider.avoided, self.log)
-        self.operators = OperatorsFront(config.ops, self.desk.answer) if config.ops else None
+        self.serving.listeners += [acceptor.away for acceptor in self.acceptors]
+        self.commands = OperatorCommands(
+            self.serving, self.registry, self.decider.figures, self.decider.avoided, self.log
+        )
+        self.operators = OperatorsFront(config.ops, self.commands.answer) if config.ops else None
         self.handover: Handover | None = None
         if config.listen_fd is not None and config.scratch:
             from gorsefork.life.handover import Handover  # only where the platform changes versions so
@@ -209,9 +211,9 @@
 
     def begin_taking(self) -> None:
         """Clients and peers come to this process from here on."""
-        if not self.duty.closing or (self.handover is not None and self.handover.deserted()):
+        if not self.serving.closing or (self.handover is not None and self.handover.deserted()):
             self.acceptors[0].begin()
-            self.acceptors[0].away(self.duty.away)
+            self.acceptors[0].away(self.serving.away)
         if self.peers is not None:
             self.peers.open()
 
@@ -308,7 +310,7 @@
 
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
-        began, self.duty.closing = trio.current_time(), True
+        began, self.serving.closing = trio.current_time(), True
         followed = self.handover is not None and self.handover.next is not None
         if followed:
             self.acceptors[0].cease()
--- a/gorsefork/memory/desk.py
+++ b/gorsefork/memory/commands.py
@@ -1,28 +1,35 @@
-"""The operators' desk: what each call of theirs does. It knows no wire."""
+"""Operators' commands: what each of them does. It knows no wire."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from gorsefork.memory.duty import Duty
 from gorsefork.memory.figures import Figures
 from gorsefork.memory.ports import Log
 from gorsefork.memory.registry import Registry
+from gorsefork.memory.serving import ServingState
 
 LONGEST_ID = 256
 
 
-class Desk:
+class OperatorCommands:
     """``answer`` takes one line and gives what is to be written back; it never waits.
 
-    ``told``: what is to hear of a ban or a drain too, such as another process of this ingress.
+    ``avoided`` counts the backends that get nothing now.
+    ``listeners``: told of each ban and drain, such as another process of this ingress.
     """
 
     def __init__(
-        self, duty: Duty, registry: Registry, figures: Figures, avoided: Callable[[], int], log: Log
+        self,
+        serving: ServingState,
+        registry: Registry,
+        figures: Figures,
+        avoided: Callable[[], int],
+        log: Log,
     ) -> None:
-        self.duty, self.registry, self.figures, self.avoided, self.log = duty, registry, figures, avoided, log
-        self.told: list[Callable[[str], None]] = []
+        self.serving, self.registry, self.figures = serving, registry, figures
+        self.avoided, self.log = avoided, log
+        self.listeners: list[Callable[[str], None]] = []
         self.calls: dict[str, Callable[[], str]] = {
             "check": self.check,
             "vars": self.figures_text,
@@ -46,9 +53,9 @@
         return no(f"{name} takes nothing behind it") if given else call()
 
     def check(self) -> str:
-        if why := self.duty.obstacle():
+        if why := self.serving.obstacle():
             return no(why)
-        return yes("ready; clients are sent away" if self.duty.away else "ready")
+        return yes("ready; clients are sent away" if self.serving.away else "ready")
 
     def figures_text(self) -> str:
         lines = self.figures.lines(len(self.registry.hosts), self.avoided())
@@ -60,23 +67,23 @@
         return self.done("set-down" if down else "set-up", name, "out" if down else "back in")
 
     def send_away(self, on: bool) -> str:
-        self.duty.send_away(on)
+        self.serving.send_away(on)
         return self.done("drain-on" if on else "drain-off", "", "clients are sent away" if on else "serving")
 
     def done(self, call: str, name: str, text: str) -> str:
         line = f"{call} {name}".strip()
         self.log(f"gorsefork: operators: {line}", event="operators.call", call=call, id=name)
-        for tell in self.told:
+        for tell in self.listeners:
             tell(line)
         return yes(f"{name} {text}".strip())
 
-    def hear(self, line: str) -> None:
-        """The same call, made at another process of this ingress."""
+    def apply(self, line: str) -> None:
+        """A command that was given to another process of this ingress."""
         words = line.split()
         if words[:1] in (["set-down"], ["set-up"]) and len(words) == 2:
             (self.registry.set_down if words[0] == "set-down" else self.registry.set_up)(words[1])
         elif words in (["drain-on"], ["drain-off"]):
-            self.duty.send_away(words == ["drain-on"])
+            self.serving.send_away(words == ["drain-on"])
 
 
 def yes(text: str) -> str:
--- a/gorsefork/memory/duty.py
+++ b/gorsefork/memory/serving.py
@@ -7,13 +7,13 @@
 import trio
 
 
-class Duty:
+class ServingState:
     """``away``: clients are to go elsewhere; nothing restarts, and what comes all the same is served."""
 
     def __init__(self) -> None:
         self.ready = trio.Event()
         self.closing = self.away = False
-        self.heed: list[Callable[[bool], None]] = []  # told of each change of ``away``
+        self.listeners: list[Callable[[bool], None]] = []  # told of each change of ``away``
 
     def healthy(self) -> bool:
         """What the clients' front is told."""
@@ -22,7 +22,7 @@
     def send_away(self, on: bool) -> None:
         if on != self.away:
             self.away = on
-            for tell in self.heed:
+            for tell in self.listeners:
                 tell(on)
 
     def obstacle(self) -> str:
