--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -8,20 +8,22 @@
 
 import trio
 
+from gorsefork.configuration.records import Record
+from gorsefork.configuration.store import RecordStore
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import Config
-from gorsefork.life.keeper import BookShelf, NoShelf, PlanKeeper
+from gorsefork.life.keeper import NoStorage, PlanKeeper, RecordStorage
 from gorsefork.life.logs import Logs
 from gorsefork.life.operator import Operator, secret
+from gorsefork.life.plan_records import PlanRecords, load_book
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.deciding import Decider
 from gorsefork.plans.book import Book
-from gorsefork.plans.changes import Change
 from gorsefork.plans.contracts import Contracts
-from gorsefork.storage.books import DurableBook
 from gorsefork.storage.database import Database, WriteFailed
 from gorsefork.storage.faults import Fault, no_fault
 from gorsefork.storage.recorder import Recorder, Shelf
+from gorsefork.storage.records import DurableRecords
 from gorsefork.storage.uses import DurableStore
 from gorsefork.usage.records import MILLION
 from gorsefork.usage.store import Unkept, UseStore, VolatileStore
@@ -37,17 +39,17 @@
 LAST_EXPORT = 1.0  # s at the end for what the accounts have not acknowledged
 
 
-class DiskShelf:
-    """The book's part of the state folder, away from the loop. Shares the lock of what else is kept there."""
+class DiskStorage:
+    """The records' part of the state folder, away from the loop. It shares the lock of the rest."""
 
-    def __init__(self, book: DurableBook, shelf: Shelf) -> None:
-        self.book, self.shelf = book, shelf
+    def __init__(self, records: DurableRecords, shelf: Shelf) -> None:
+        self.records, self.shelf = records, shelf
 
-    async def save(self, changes: Sequence[Change]) -> None:
-        await self.guarded(lambda: self.book.save(changes))
+    async def save(self, records: Sequence[Record]) -> None:
+        await self.guarded(lambda: self.records.save(records))
 
-    async def forget(self, book: Book) -> None:
-        await self.guarded(lambda: self.book.forget(book))
+    async def forget(self, records: Sequence[Record], horizon: int) -> None:
+        await self.guarded(lambda: self.records.forget(records, horizon))
 
     async def guarded(self, what: Callable[[], None]) -> None:
         try:
@@ -65,21 +67,22 @@
         self.accounts_key = secret("usage", given.usage.key_file) if given.usage else ""
         now = clock.unix_us()
         self.database: Database | None = None
-        self.book = Book()
-        self.book_shelf: BookShelf = NoShelf()
+        self.records = RecordStore()
+        self.book = Book(PlanRecords(self.records))
+        self.storage: RecordStorage = NoStorage()
         store: UseStore = VolatileStore(config.name, now)
         if given.state is not None:
             self.database = Database(Path(given.state.folder), config.name, given.state.sync, fault)
             try:
                 store = DurableStore(self.database, now)
-                durable = DurableBook(self.database)
-                self.book = durable.load()
+                durable = DurableRecords(self.database)
+                self.book = load_book(durable, self.records, now)
             except BaseException:
                 self.database.close()
                 raise
         self.shelf = Shelf(store, threaded=self.database is not None)
         if self.database is not None:
-            self.book_shelf = DiskShelf(durable, self.shelf)
+            self.storage = DiskStorage(durable, self.shelf)
         self.log = Logs(given.log.form, config.name)
         self.recorder: Recorder | None = None
         self.exporter: Exporter | None = None
@@ -95,11 +98,11 @@
         self.contracts = Contracts(settings.plans, self.book)
         self.keeper = PlanKeeper(
             self.contracts,
-            self.book_shelf,
+            self.storage,
             self.clock,
             self.config.name,
             str(self.shelf.store.life),
-            self.retold,
+            self.terms_changed,
             self.log,
         )
         decider.terms = self.contracts
@@ -175,8 +178,8 @@
     def bearer(key: str) -> str:
         return f"Bearer {key}" if key else ""
 
-    def retold(self, customers: Iterable[str]) -> None:
-        self.decider.retold(customers)
+    def terms_changed(self, customers: Iterable[str]) -> None:
+        self.decider.terms_changed(customers)
 
     def suspend(self, shut: bool, reason: str) -> None:
         self.log(
@@ -210,7 +213,7 @@
         with trio.move_on_after(self.given.control.catch_up_ms / 1000):
             await self.fellows.asked.wait()
         unheard = [each.dial for each in self.fellows.followers if each.heard_at is None]
-        newest = max((change.stamp for change in self.keeper.book.changes.values()), default=0)
+        newest = self.keeper.book.newest.stamp if self.keeper.book.newest else 0
         if unheard:
             self.log(
                 f"not all fellows were heard; the newest change here is of {newest}",
@@ -264,16 +267,15 @@
             }
             for each in self.fellows.followers
         ]
-        newest = max(book.changes, default=None)
         return {
             "ingress": self.config.name,
             "life": str(self.shelf.store.life),
             "ready": self.ready(),
             "up_s": round((now - self.began) / SECOND, 3),
             "book": {
-                "changes": len(book.changes),
+                "changes": len(book),
                 "digest": book.digest(),
-                "newest": str(newest) if newest else None,
+                "newest": str(book.newest) if book.newest else None,
                 "kept_on_disk": self.database is not None,
             },
             "fellows": followers,
--- /dev/null
+++ b/gorsefork/life/plan_records.py
@@ -0,0 +1,123 @@
+"""Plan changes as records of kind ``plan``: the plan book's log over the store that is replicated."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gorsefork.configuration.records import MOST_BODY, Record, RecordRefused, Refusal
+from gorsefork.configuration.store import LEAVES, RecordStore
+from gorsefork.plans.bodies import Unreadable, packed, unpacked
+from gorsefork.plans.book import Book
+from gorsefork.plans.changes import Change, Number, Refused
+from gorsefork.plans.number_index import NumberIndex
+from gorsefork.storage.records import DurableRecords
+
+KIND = "plan"
+MOST_PACKED = MOST_BODY + 512  # bytes of a record
+
+
+def record_of(change: Change) -> Record:
+    """A change as it is kept and replicated. The key is its customer, or empty for a rollback of all."""
+    return Record(KIND, change.customer or "", change.stamp, change.origin, change.author, packed(change))
+
+
+def change_of(record: Record) -> Change:
+    """``RecordRefused`` (UNREADABLE) for a record that is no change to this version of the program."""
+    try:
+        if record.kind != KIND:
+            raise Unreadable(f"kind {record.kind}")
+        return unpacked(record.key, record.stamp, record.origin, record.author, record.body)
+    except Unreadable as error:
+        raise RecordRefused(
+            Refusal.UNREADABLE, f"{record.kind} {record.key} {record.stamp}@{record.origin}: {error}"
+        ) from None
+
+
+class PlanRecords:
+    """A ``ChangeLog``. The store keeps records packed; changes are made from them when asked for.
+
+    Only rollbacks of all customers are kept as objects: they concern every question.
+    """
+
+    parts = LEAVES
+
+    def __init__(self, store: RecordStore) -> None:
+        self.store = store
+        self.numbers = NumberIndex()
+        self.everyones: list[Change] = []
+        self.count = 0
+
+    def __len__(self) -> int:
+        return self.count
+
+    def get(self, number: Number) -> Change | None:
+        for customer in self.numbers.candidates(number):
+            for change in self.of_customer(customer or None):
+                if change.number == number:
+                    return change
+        return None
+
+    def of_customer(self, customer: str | None) -> list[Change]:
+        if customer is None:
+            return list(self.everyones)
+        return [change_of(record) for record in self.store.versions(KIND, customer)]
+
+    def part(self, place: int) -> list[Change]:
+        return [change_of(each) for each in self.store.leaf(place) if each.kind == KIND and each.key]
+
+    def add(self, change: Change) -> bool:
+        record = record_of(change)
+        replaced = self.store.at_identity(record)
+        try:
+            if not self.store.add(record):
+                return False
+        except RecordRefused as refused:
+            raise Refused(str(refused), 409 if refused.refusal is Refusal.CONTRADICTION else 507) from None
+        if replaced is None:
+            self.enter(record)
+        if record.key == "":
+            self.read_everyones()
+        return True
+
+    def has_room(self, more: int) -> bool:
+        limits = self.store.limits
+        return (
+            len(self.store) + more <= limits.records and self.store.size + more * MOST_PACKED <= limits.size
+        )
+
+    def enter(self, record: Record) -> None:
+        self.numbers.add(Number(record.stamp, record.origin), record.key)
+        self.count += 1
+
+    def read_everyones(self) -> None:
+        self.everyones = [change_of(record) for record in self.store.versions(KIND, "")]
+
+    def discard(self, changes: Iterable[Change]) -> None:
+        records = [record_of(change) for change in changes]
+        self.count -= self.store.discard(records)
+        for record in records:
+            self.numbers.discard(Number(record.stamp, record.origin), record.key)
+        self.read_everyones()
+
+    def digest(self) -> str:
+        return f"{self.count}-{self.store.digest().hex()}"
+
+
+def load_book(durable: DurableRecords, store: RecordStore, now: int) -> Book:
+    """The plan book of what was kept, read leaf by leaf so that no object per change stays.
+
+    ``now``: microseconds of Unix time. ``BadState`` for a record that cannot be read.
+    """
+    log = PlanRecords(store)
+    book = Book(log, durable.horizon)
+    try:
+        for records in durable.leaves(KIND):
+            for record, outcome in zip(records, store.add_all(records), strict=True):
+                if isinstance(outcome, RecordRefused):
+                    raise outcome
+                log.enter(record)
+                book.loaded(change_of(record), now)
+    except RecordRefused as refused:
+        raise durable.unreadable(str(refused)) from None
+    log.read_everyones()
+    return book
--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -179,7 +179,7 @@
         self.timers.set(max(self.clock.now, call.ends_at), LATE + call.id, call.id)
         uses.record(call, micro, then)
 
-    def retold(self, customers: Iterable[str]) -> None:
+    def terms_changed(self, customers: Iterable[str]) -> None:
         """The terms of these customers may be others now: the module hears so for those it may know."""
         now = self.clock.unix_us()
         waiting = {call.customer: call for call in self.calls.values() if not call.over}
--- /dev/null
+++ b/gorsefork/plans/bodies.py
@@ -0,0 +1,107 @@
+"""A change in the few bytes in which it is kept and replicated.
+
+Customer, number and author stand in the record round the body; the body is a MessagePack array that begins
+with what is done. A later version may add a kind of act: this one then refuses it as unreadable.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from gorsefork.plans.changes import (
+    Act,
+    Amount,
+    Cancel,
+    Change,
+    Name,
+    Reserve,
+    Rollback,
+    SetPlan,
+    Text,
+    When,
+)
+
+RequestKey = Annotated[str, Meta(max_length=128)]
+CUSTOMER = re.compile("[0-9a-f]{16}")
+
+
+class Unreadable(ValueError):
+    """A body that is no change to this version of the program."""
+
+
+class SetPlanBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag=1):
+    note: Text
+    key: RequestKey
+    plan: Name
+    effective: When
+    until: When
+
+    def act(self, customer: str) -> Act:
+        return SetPlan(customer, self.plan, self.effective, self.until)
+
+
+class ReserveBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag=2):
+    note: Text
+    key: RequestKey
+    rate: Amount
+    burst: Amount
+    starts: When
+    ends: When
+
+    def act(self, customer: str) -> Act:
+        return Reserve(customer, self.rate, self.burst, self.starts, self.ends)
+
+
+class CancelBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag=3):
+    note: Text
+    key: RequestKey
+    number: Name
+    effective: When
+
+    def act(self, customer: str) -> Act:
+        return Cancel(customer, self.number, self.effective)
+
+
+class RollbackBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag=4):
+    note: Text
+    key: RequestKey
+    to: Name
+    effective: When
+
+    def act(self, customer: str) -> Act:
+        return Rollback(self.to, self.effective, customer or None)
+
+
+Body = SetPlanBody | ReserveBody | CancelBody | RollbackBody
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Body)
+
+
+def packed(change: Change) -> bytes:
+    """The body of a change."""
+    act, note, key = change.act, change.note, change.key
+    body: Body
+    if isinstance(act, SetPlan):
+        body = SetPlanBody(note, key, act.plan, act.effective, act.until)
+    elif isinstance(act, Reserve):
+        body = ReserveBody(note, key, act.rate, act.burst, act.starts, act.ends)
+    elif isinstance(act, Cancel):
+        body = CancelBody(note, key, act.number, act.effective)
+    else:
+        body = RollbackBody(note, key, act.to, act.effective)
+    return ENCODER.encode(body)
+
+
+def unpacked(customer: str, stamp: int, origin: str, author: str, body: bytes) -> Change:
+    """The change of a record; ``customer`` is empty for a rollback of all. ``Unreadable`` if it is none."""
+    try:
+        read = DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise Unreadable(str(error)) from None
+    if CUSTOMER.fullmatch(customer) is None and not (customer == "" and isinstance(read, RollbackBody)):
+        raise Unreadable(f"{customer!r} is no customer")
+    return Change(stamp, origin, read.act(customer), author, read.note, read.key)
--- a/gorsefork/plans/book.py
+++ b/gorsefork/plans/book.py
@@ -1,22 +1,23 @@
-"""The plan book: an immutable set of changes, and what it says of a customer at any time.
+"""The plan book: a set of changes, and what it says of a customer at any time.
 
-A book is a pointer to persistent maps: whoever holds one reads it whole, however many changes come meanwhile.
 What it says depends on the set of its changes alone and not on the order in which they came, so that two
-ingresses with the same changes agree.
+ingresses with the same changes agree. The changes themselves are in a ``ChangeLog``; the book looks at those
+of one customer at a time, and its one owner adds to it.
 """
 
 from __future__ import annotations
 
-from bisect import insort
-from collections.abc import Iterable, Iterator
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2s
 
-from pyrsistent import PMap, PVector, pmap, pvector
-
+from gorsefork.plans.boundaries import EVERYONE, Boundaries
+from gorsefork.plans.change_log import ChangeLog, MemoryLog
 from gorsefork.plans.changes import Cancel, Change, Number, Refused, Reserve, Rollback, SetPlan
+from gorsefork.plans.recent_keys import RecentKeys
 
-MOST_CHANGES = 20_000
+MOST_CHANGES = 250_000
 MOST_OF_ONE = 500  # changes that concern one customer
 
 
@@ -36,128 +37,143 @@
         return "-" + blake2s(f"{text}|{self.since}".encode(), digest_size=5).hexdigest()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
+class Pending:
+    """Changes that have been checked and are not in the book yet; they count for its bounds."""
+
+    by_number: dict[Number, Change] = field(default_factory=dict)
+    of_customer: Counter[str] = field(default_factory=Counter)
+
+    def add(self, change: Change) -> None:
+        self.by_number[change.number] = change
+        if change.customer is not None:
+            self.of_customer[change.customer] += 1
+
+
 class Book:
-    """``changes`` by number; ``of`` each customer, in their order; ``everyones``: rollbacks of all."""
+    """``horizon``: what is older and holds no more has been forgotten. ``ahead``: whose terms change when.
 
-    changes: PMap[Number, Change] = field(default_factory=pmap)
-    of: PMap[str, PVector[Change]] = field(default_factory=pmap)
-    everyones: PVector[Change] = field(default_factory=pvector)
-    keys: PMap[str, Number] = field(default_factory=pmap)
-    horizon: int = 0  # what is older and holds no more has been forgotten
+    Mutable and without a lock: what reads it must not await between two looks that belong together.
+    """
+
+    def __init__(self, log: ChangeLog | None = None, horizon: int = 0) -> None:
+        self.log: ChangeLog = MemoryLog() if log is None else log
+        self.horizon = horizon
+        self.keys = RecentKeys()
+        self.ahead = Boundaries()
+        self.newest: Number | None = None  # of all that were ever added
 
     @staticmethod
     def replay(changes: Iterable[Change], horizon: int = 0) -> Book:
+        """A book of plain objects: for few changes."""
         book = Book(horizon=horizon)
         for change in changes:
-            book = book.adding(change)
+            book.add(change)
         return book
 
-    def adding(self, change: Change) -> Book:
-        """The book with one more change; itself if it has that already. ``Refused`` if it contradicts it."""
-        if (known := self.changes.get(change.number)) is not None:
-            if known != change:
-                raise Refused(f"change {change.number} is another one here", 409)
-            return self
-        of, everyones = self.of, self.everyones
-        if change.customer is None:
-            everyones = inserted(everyones, change)
-        else:
-            of = of.set(change.customer, inserted(of.get(change.customer, pvector()), change))
-        keys = self.keys.set(change.key, change.number) if change.key else self.keys
-        return Book(self.changes.set(change.number, change), of, everyones, keys, self.horizon)
-
-    def adding_within(self, change: Change) -> Book:
-        """The same, within the bounds, which hold for what others made too."""
-        self.check_room(change)
-        return self.adding(change)
-
-    def check_room(self, change: Change) -> None:
-        if len(self.changes) >= MOST_CHANGES:
+    def __len__(self) -> int:
+        return len(self.log)
+
+    def get(self, number: Number) -> Change | None:
+        return self.log.get(number)
+
+    def add(self, change: Change) -> bool:
+        """One more change; False if it is there already. ``Refused`` if it contradicts the book."""
+        if not self.log.add(change):
+            return False
+        self.noted(change)
+        return True
+
+    def loaded(self, change: Change, now: int) -> None:
+        """What follows from a change that the log had before this book, at the start of the program."""
+        self.noted(change)
+        for boundary in change.boundaries():
+            if boundary > now:
+                self.ahead.watch_earlier(change.customer or EVERYONE, boundary)
+
+    def noted(self, change: Change) -> None:
+        self.keys.note(change)
+        number = change.number
+        if self.newest is None or number > self.newest:
+            self.newest = number
+
+    def is_new(self, change: Change) -> bool:
+        """Whether the book lacks a change. ``Refused``: its number is another's."""
+        known = self.get(change.number)
+        if known is not None and known != change:
+            raise Refused(f"change {change.number} is another one here", 409)
+        return known is None
+
+    def check_room(self, change: Change, pending: Pending | None = None) -> None:
+        """``Refused`` at a bound. The bounds hold for what others made too."""
+        more = pending or Pending()
+        waiting = len(more.by_number)
+        if len(self) + waiting >= MOST_CHANGES:
             raise Refused(f"the book is full: {MOST_CHANGES} changes", 507)
-        if change.customer is not None and len(self.of.get(change.customer, ())) >= MOST_OF_ONE:
-            raise Refused(f"customer {change.customer} has {MOST_OF_ONE} changes", 507)
+        if not self.log.has_room(waiting + 1):
+            raise Refused("the book is full: there is no room for the bytes of another change", 507)
+        if change.customer is not None:
+            held_now = len(self.log.of_customer(change.customer)) + more.of_customer[change.customer]
+            if held_now >= MOST_OF_ONE:
+                raise Refused(f"customer {change.customer} has {MOST_OF_ONE} changes", 507)
 
     def asked_before(self, key: str) -> Change | None:
-        number = self.keys.get(key) if key else None
-        return None if number is None else self.changes[number]
+        """The change that a request with this key made, if it is among the newest with a key."""
+        found = self.keys.find(key)
+        if found is None:
+            return None
+        change = next((c for c in self.log.of_customer(found[1] or None) if c.number == found[0]), None)
+        return change if change is not None and change.key == key else None
 
     def of_customer(self, customer: str) -> list[Change]:
         """All that concerns one customer, in order of number."""
-        return sorted([*self.of.get(customer, ()), *self.everyones], key=lambda change: change.number)
+        return merged(self.log.of_customer(customer), self.log.of_customer(None))
 
     def live(self, customer: str, at: int) -> list[Change]:
-        """The entries that no cancel or rollback in effect at that time has voided, the latest first.
-
-        Latest first also settles a rollback of a rollback: the earlier one is void before it is looked at.
-        """
-        floor: Number | None = None
-        cancelled: set[Number] = set()
-        live: list[Change] = []
-        for change in reversed(self.of_customer(customer)):
-            act = change.act
-            if floor is not None and change.number > floor:
-                continue
-            if isinstance(act, Rollback):
-                if act.effective <= at:
-                    to = Number.read(act.to)
-                    floor = to if floor is None else min(floor, to)
-            elif isinstance(act, Cancel):
-                if act.effective <= at:
-                    cancelled.add(Number.read(act.number))
-            elif change.number not in cancelled:
-                live.append(change)
-        return live
+        return live_among(self.of_customer(customer), at)
 
     def standing(self, customer: str, at: int) -> Standing | None:
-        """What holds for a customer at that time; None if this book never changed anything for it by then.
-
-        Of several plans the one that took effect last holds, and of two at the same time the one with the
-        higher number: two operators at once end with one result, everywhere the same.
-        """
-        if customer not in self.of:
-            return None
-        past = [time for change in self.of_customer(customer) for time in change.boundaries() if time <= at]
-        if not past:
-            return None
-        entry: Change | None = None
-        best: tuple[int, Number] | None = None
-        reservations = []
-        for change in self.live(customer, at):
-            act = change.act
-            if isinstance(act, SetPlan) and act.effective <= at and not 0 < act.until <= at:
-                rank = (act.effective, change.number)
-                if best is None or rank > best:
-                    entry, best = change, rank
-            elif isinstance(act, Reserve) and act.starts <= at < act.ends:
-                reservations.append(change)
-        return Standing(entry, tuple(sorted(reservations, key=lambda c: c.number)), max(past))
+        """What holds for a customer at that time; None if this book never changed anything for it by then."""
+        own = self.log.of_customer(customer)
+        return standing_among(merged(own, self.log.of_customer(None)), at) if own else None
 
     def next_boundary(self, customer: str, after: int) -> int | None:
         """When this customer's standing may change next."""
-        return min(
-            (time for change in self.of_customer(customer) for time in change.boundaries() if time > after),
-            default=None,
-        )
-
-    def forgetting(self, horizon: int) -> Book:
-        """The book without what is older than ``horizon`` and holds neither then nor later.
+        return first_boundary(self.of_customer(customer), after)
+
+    def watch(self, customer: str | None, at: int) -> None:
+        """Bring ``ahead`` up to date for one customer, or for the changes of all."""
+        self.ahead.watch(customer or EVERYONE, first_boundary(self.log.of_customer(customer), at))
+
+    def customers_of_part(self, place: int) -> dict[str, list[Change]]:
+        """The changes that concern each customer of a part of the log."""
+        everyones = self.log.of_customer(None)
+        own: dict[str, list[Change]] = {}
+        for change in self.log.part(place):
+            if change.customer is not None:
+                own.setdefault(change.customer, []).append(change)
+        return {customer: merged(changes, everyones) for customer, changes in own.items()}
+
+    def forgettable(self, place: int, horizon: int) -> list[Change]:
+        """What of a part of the log holds neither at ``horizon`` nor later, and is older."""
+        return [
+            change
+            for customer, changes in self.customers_of_part(place).items()
+            for change in forgettable_among(changes, horizon)
+            if change.customer == customer
+        ]
+
+    def forgettable_of_all(self, horizon: int) -> list[Change]:
+        """The same of what concerns every customer."""
+        return forgettable_among(self.log.of_customer(None), horizon)
+
+    def forget(self, changes: Sequence[Change], horizon: int) -> None:
+        """Go on without these, which ``forgettable`` gave for that horizon.
 
         From then on nothing before the horizon can be cancelled or rolled back to: ``admissible`` refuses it.
         """
-        if horizon <= self.horizon:
-            return self
-        kept = {change.number: change for change in self.changes.values() if change.stamp >= horizon}
-        for customer in self.of:
-            standing = self.standing(customer, horizon)
-            held = {standing.entry, *standing.reservations} if standing is not None else set()
-            for change in self.live(customer, horizon):
-                if change in held or change.boundaries()[0] > horizon:
-                    kept[change.number] = change
-        for change in self.changes.values():
-            if isinstance(change.act, Cancel | Rollback) and change.act.effective > horizon:
-                kept[change.number] = change
-        return Book.replay(kept.values(), horizon)
+        self.log.discard(changes)
+        self.horizon = max(self.horizon, horizon)
 
     def admissible(self, change: Change) -> None:
         """Whether a change may be made here and now; ``Refused`` says why not.
@@ -170,7 +186,7 @@
         self.check_room(change)
         if isinstance(act, Cancel):
             number = Number.read(act.number)
-            target = self.changes.get(number)
+            target = self.get(number)
             if target is None or target.customer != act.customer or number.stamp < self.horizon:
                 raise Refused(f"act.number: no change {number} of customer {act.customer}", 404)
             if not isinstance(target.act, SetPlan | Reserve):
@@ -184,47 +200,106 @@
             if to >= change.number:
                 raise Refused("act.to: names a later change", 409)
 
-    def history(self, customer: str | None = None) -> Iterator[Change]:
-        """In order of number: of all, or of one customer with the rollbacks that concern it."""
-        if customer is not None:
-            yield from self.of_customer(customer)
-        else:
-            yield from sorted(self.changes.values(), key=lambda change: change.number)
+    def digest(self) -> str:
+        """Equal where two books hold the same changes."""
+        return self.log.digest()
 
-    def at_number(self, number: Number) -> Book:
-        """The book as its changes up to that one make it."""
-        return Book.replay((c for c in self.changes.values() if c.number <= number), self.horizon)
 
-    def missing_in(self, other: Book) -> list[Change]:
-        """What this book has and another lacks, in order of number."""
-        numbers = self.changes.keys() - other.changes.keys()
-        return [self.changes[number] for number in sorted(numbers)]
+def merged(own: list[Change], everyones: list[Change]) -> list[Change]:
+    """Both in order of number."""
+    return sorted([*own, *everyones], key=lambda change: change.number) if everyones else own
 
-    def digest(self) -> str:
-        """Equal where two books hold the same changes."""
-        total = 0
-        for number in self.changes:
-            total ^= int.from_bytes(blake2s(str(number).encode(), digest_size=16).digest(), "big")
-        return f"{len(self.changes)}-{total:032x}"
 
+def live_among(changes: Sequence[Change], at: int) -> list[Change]:
+    """The entries that no cancel or rollback in effect at that time has voided, the latest first.
 
-def inserted(changes: PVector[Change], change: Change) -> PVector[Change]:
-    """In order of number. Most changes come in that order: then nothing is copied."""
-    if not changes or changes[-1].number < change.number:
-        return changes.append(change)
-    copy = list(changes)
-    insort(copy, change, key=lambda each: each.number)
-    return pvector(copy)
+    ``changes``: all that concern one customer, in order of number. Latest first also settles a rollback of a
+    rollback: the earlier one is void before it is looked at.
+    """
+    floor: Number | None = None
+    cancelled: set[Number] = set()
+    live: list[Change] = []
+    for change in reversed(changes):
+        act = change.act
+        if floor is not None and change.number > floor:
+            continue
+        if isinstance(act, Rollback):
+            if act.effective <= at:
+                to = Number.read(act.to)
+                floor = to if floor is None else min(floor, to)
+        elif isinstance(act, Cancel):
+            if act.effective <= at:
+                cancelled.add(Number.read(act.number))
+        elif change.number not in cancelled:
+            live.append(change)
+    return live
+
+
+def standing_among(changes: Sequence[Change], at: int) -> Standing | None:
+    """What all changes that concern a customer say of it at that time; None: nothing by then.
+
+    Of several plans the one that took effect last holds, and of two at the same time the one with the higher
+    number: two operators at once end with one result, everywhere the same.
+    """
+    past = [time for change in changes for time in change.boundaries() if time <= at]
+    if not past:
+        return None
+    entry: Change | None = None
+    best: tuple[int, Number] | None = None
+    reservations = []
+    for change in live_among(changes, at):
+        act = change.act
+        if isinstance(act, SetPlan) and act.effective <= at and not 0 < act.until <= at:
+            rank = (act.effective, change.number)
+            if best is None or rank > best:
+                entry, best = change, rank
+        elif isinstance(act, Reserve) and act.starts <= at < act.ends:
+            reservations.append(change)
+    return Standing(entry, tuple(sorted(reservations, key=lambda c: c.number)), max(past))
+
+
+def first_boundary(changes: Iterable[Change], after: int) -> int | None:
+    """The first time after that one at which one of these changes may change terms."""
+    return min(
+        (time for change in changes for time in change.boundaries() if time > after),
+        default=None,
+    )
+
+
+def forgettable_among(changes: Sequence[Change], horizon: int) -> list[Change]:
+    """Which changes that concern one customer are older than a time and hold neither then nor later."""
+    standing = standing_among(changes, horizon)
+    kept = {change.number for change in standing.reservations} if standing is not None else set()
+    if standing is not None and standing.entry is not None:
+        kept.add(standing.entry.number)
+    kept |= {c.number for c in live_among(changes, horizon) if c.boundaries()[0] > horizon}
+    return [
+        change
+        for change in changes
+        if change.stamp < horizon
+        and change.number not in kept
+        and not (isinstance(change.act, Cancel | Rollback) and change.act.effective > horizon)
+    ]
 
 
 def differences(old: Book, new: Book, at: int) -> Iterator[tuple[str, Standing | None, Standing | None]]:
-    """The customers for whom two books say something else at that time, and what."""
-    for customer in sorted({*old.of, *new.of}):
+    """The customers for whom two books say something else at that time, and what. For small books."""
+    names = {
+        name for book in (old, new) for place in range(book.log.parts) for name in customers(book, place)
+    }
+    for customer in sorted(names):
         before, after = old.standing(customer, at), new.standing(customer, at)
         if held(before) != held(after):
             yield customer, before, after
 
 
+def customers(book: Book, place: int) -> Iterator[str]:
+    """Who has changes of its own in a part of a book's log, each once."""
+    yield from dict.fromkeys(
+        change.customer for change in book.log.part(place) if change.customer is not None
+    )
+
+
 def held(standing: Standing | None) -> tuple[Number | None, tuple[Number, ...]]:
     if standing is None:
         return None, ()
--- a/gorsefork/plans/contracts.py
+++ b/gorsefork/plans/contracts.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from gorsefork.decisions import interface as i
-from gorsefork.plans.book import Book, Standing
+from gorsefork.plans.book import Book, Standing, first_boundary, merged, standing_among
 from gorsefork.plans.changes import Change, Reserve, SetPlan
 
 MOST_CACHED = 4096
@@ -24,70 +23,66 @@
 
 
 class Contracts:
-    """Resolves calls against one book at a time. ``take`` puts another in its place, whole."""
+    """Resolves calls against the book. Resolved terms are cached, those of customers it does not name too."""
 
     def __init__(self, plans: Sequence[i.Plan], book: Book | None = None) -> None:
         self.plans = list(plans)
         self.by_name = {plan.name: plan for plan in plans}
-        self.book = book or Book()
+        self.book = Book() if book is None else book
         self.cache: OrderedDict[tuple[str, int], Held] = OrderedDict()
-        self.ahead: list[tuple[int, str]] = []  # times to come at which a customer's terms may change
-        self.watched: dict[str, int] = {}  # the one of them that counts, for each customer
-
-    def take(self, book: Book, changes: Iterable[Change], at: int) -> list[str]:
-        """Go over to a book with these changes more; the customers whose terms may be others from now on."""
-        self.book = book
-        names = {change.customer for change in changes}
-        touched = sorted(book.of if None in names else [name for name in names if name is not None])
+
+    def changed(self, changes: Iterable[Change], at: int) -> list[str | None]:
+        """Whose terms may be others from now on, as the book has these changes more; ``None``: everyone's."""
+        touched = list(dict.fromkeys(change.customer for change in changes))
         for customer in touched:
-            for place in range(len(self.plans)):
-                self.cache.pop((customer, place), None)
-            self.watch(customer, at)
+            self.book.watch(customer, at)
+        self.drop(touched)
         return touched
 
-    def watch(self, customer: str, at: int) -> None:
-        boundary = self.book.next_boundary(customer, at)
-        if boundary is None:
-            self.watched.pop(customer, None)
-        elif self.watched.get(customer) != boundary:
-            self.watched[customer] = boundary
-            heapq.heappush(self.ahead, (boundary, customer))
+    def drop(self, customers: Iterable[str | None]) -> None:
+        """Resolve anew at the next call."""
+        for customer in customers:
+            if customer is None:
+                self.cache.clear()
+            else:
+                for place in range(len(self.plans)):
+                    self.cache.pop((customer, place), None)
 
     def next_due(self) -> int | None:
-        while self.ahead and self.watched.get(self.ahead[0][1]) != self.ahead[0][0]:
-            heapq.heappop(self.ahead)
-        return self.ahead[0][0] if self.ahead else None
-
-    def due(self, at: int) -> list[str]:
-        """The customers whose terms may have changed by now, each once."""
-        customers: dict[str, None] = {}
-        while (first := self.next_due()) is not None and first <= at:
-            _, customer = heapq.heappop(self.ahead)
-            customers[customer] = None
-            del self.watched[customer]
-            self.watch(customer, at)
-        return list(customers)
+        return self.book.ahead.first()
+
+    def due(self, at: int) -> list[str | None]:
+        """Whose terms may have changed by now, each once; ``None``: everyone's."""
+        due: dict[str | None, None] = {}
+        while (customer := self.book.ahead.pop_due(at)) is not None:
+            due[customer or None] = None
+            self.book.watch(customer or None, at)
+        return list(due)
 
     def terms(self, customer: str, place: int, at: int) -> i.Plan | None:
         """What holds at that time for a call that names the plan at ``place``; None: that plan as it stands.
 
         The same object as long as it holds: the module compares by identity first.
         """
-        if customer not in self.book.of:
-            return None
         key = (customer, place)
         known = self.cache.get(key)
         if known is None or not (known.since <= at and (known.until is None or at < known.until)):
-            standing = self.book.standing(customer, at)
-            terms = None if standing is None else self.resolve(standing, self.plans[place])
-            since = 0 if standing is None else standing.since
-            known = self.cache[key] = Held(terms, since, self.book.next_boundary(customer, at))
+            known = self.cache[key] = self.look_up(customer, place, at)
             if len(self.cache) > MOST_CACHED:
                 self.cache.popitem(last=False)
         else:
             self.cache.move_to_end(key)
         return known.terms
 
+    def look_up(self, customer: str, place: int, at: int) -> Held:
+        own = self.book.log.of_customer(customer)
+        if not own:
+            return Held(None, 0, None)
+        changes = merged(own, self.book.log.of_customer(None))
+        standing = standing_among(changes, at)
+        terms = None if standing is None else self.resolve(standing, self.plans[place])
+        return Held(terms, 0 if standing is None else standing.since, first_boundary(changes, at))
+
     def resolve(self, standing: Standing, named: i.Plan) -> i.Plan:
         """An entry's plan, or the one that the call names; and what is reserved on top of it.
 
--- a/gorsefork/storage/database.py
+++ b/gorsefork/storage/database.py
@@ -15,19 +15,25 @@
 from pathlib import Path
 from typing import Literal
 
+from gorsefork.plans.bodies import Unreadable
 from gorsefork.storage.faults import Fault, no_fault
+from gorsefork.storage.migration import migrate_changes
 
 APPLICATION = 0x676F7266  # "gorf": tells this program's files from others
-FORMAT = 1
+FORMAT = 2
 Sync = Literal["full", "normal"]
 BUSY_MS = 1000
 CHECKPOINT_PAGES = 2000  # of the log, from which SQLite writes them back: about 8 MB
 
-SCHEMA = """
+RECORDS = """
+CREATE TABLE records (
+    leaf INTEGER, kind TEXT, key TEXT, stamp INTEGER, origin TEXT, author TEXT NOT NULL, body BLOB NOT NULL,
+    PRIMARY KEY (leaf, kind, key, stamp, origin)
+) WITHOUT ROWID
+"""
+SCHEMA = f"""
+{RECORDS};
 CREATE TABLE meta (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
-CREATE TABLE changes (
-    stamp INTEGER, origin TEXT, body BLOB NOT NULL, PRIMARY KEY (stamp, origin)
-) WITHOUT ROWID;
 CREATE TABLE lives (
     life INTEGER PRIMARY KEY, acknowledged INTEGER NOT NULL DEFAULT 0,
     last INTEGER  -- its last number, once it is over
@@ -106,14 +112,12 @@
             )
         else:
             self.configure(sync)
+            if version < FORMAT:
+                self.migrate()
         self.fault("open.created")
         if (damage := self.sql.execute("PRAGMA quick_check(1)").fetchone()[0]) != "ok":
             raise sqlite3.DatabaseError(damage)
-        owner = self.sql.execute("SELECT value FROM meta WHERE key = 'ingress'").fetchone()[0]
-        if owner != self.ingress:
-            raise BadState(
-                f"state.folder: {self.folder} belongs to ingress {owner}, and this is {self.ingress}"
-            )
+        self.check_owner()
         self.fault("open.checked")
 
     def configure(self, sync: Sync) -> None:
@@ -132,6 +136,26 @@
         self.sql.execute(f"PRAGMA user_version = {FORMAT}")
         self.sql.execute("COMMIT")
 
+    def migrate(self) -> None:
+        """From format 1, in one transaction: a kill or ``BadState`` leaves the folder as it was."""
+        if (damage := self.sql.execute("PRAGMA quick_check(1)").fetchone()[0]) != "ok":
+            raise sqlite3.DatabaseError(damage)
+        self.check_owner()
+        try:
+            with self.transaction("migrate") as sql:
+                sql.execute(RECORDS)
+                migrate_changes(sql)
+                sql.execute(f"PRAGMA user_version = {FORMAT}")
+        except Unreadable as error:
+            raise BadState(f"state.folder: {self.folder}: a change cannot be read ({error})") from None
+
+    def check_owner(self) -> None:
+        owner = self.sql.execute("SELECT value FROM meta WHERE key = 'ingress'").fetchone()[0]
+        if owner != self.ingress:
+            raise BadState(
+                f"state.folder: {self.folder} belongs to ingress {owner}, and this is {self.ingress}"
+            )
+
     def pragma(self, name: str) -> int:
         return int(self.sql.execute(f"PRAGMA {name}").fetchone()[0])
 
--- a/gorsefork/storage/faults.py
+++ b/gorsefork/storage/faults.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-TRANSACTIONS = ("life", "append", "acknowledge", "end", "probe", "book", "forget")
+TRANSACTIONS = ("life", "append", "acknowledge", "end", "probe", "records", "forget")
 POINTS = (
     "open.created",
     "open.checked",
@@ -12,6 +12,7 @@
     "checkpoint.done",
     *(f"{name}.{step}" for name in TRANSACTIONS for step in ("begun", "written", "committed")),
 )
+MIGRATION_POINTS = ("migrate.begun", "migrate.written", "migrate.committed")  # in a folder of an older format
 Fault = Callable[[str], None]
 
 
--- /dev/null
+++ b/gorsefork/storage/migration.py
@@ -0,0 +1,32 @@
+"""What a folder of format 1 held of the plan book, carried over into records."""
+
+from __future__ import annotations
+
+import sqlite3
+
+import msgspec
+
+from gorsefork.configuration.records import Record
+from gorsefork.plans.bodies import Unreadable, packed
+from gorsefork.plans.changes import Change
+from gorsefork.storage.rows import SAVE, row_of
+
+PLAN = "plan"  # the kind of record that a change becomes
+
+
+def migrate_changes(sql: sqlite3.Connection) -> None:
+    """Within the caller's transaction: every row of ``changes`` becomes a record, and the table goes.
+
+    ``Unreadable`` for a change that cannot be read; the caller rolls back, and the folder stays as it was.
+    """
+    rows = sql.execute("SELECT body FROM changes ORDER BY stamp, origin")
+    sql.executemany(SAVE, (row_of(record_of(body)) for (body,) in rows))
+    sql.execute("DROP TABLE changes")
+
+
+def record_of(body: bytes) -> Record:
+    try:
+        change = msgspec.msgpack.decode(body, type=Change)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise Unreadable(str(error)) from None
+    return Record(PLAN, change.customer or "", change.stamp, change.origin, change.author, packed(change))
--- a/gorsefork/wire/fronts/control.py
+++ b/gorsefork/wire/fronts/control.py
@@ -1,4 +1,4 @@
-"""The control front: the plan book and the export of use, for operators and fellow ingresses.
+"""The control front: the plan book and the export of use, for operators and other ingresses.
 
 HTTP/1.1, JSON in and out (docs/operators/plans.md lists the calls). Every request is checked whole before it
 does anything; a call with an ``Idempotency-Key``, or a number of its own, may be repeated.
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hmac
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Annotated, Any, Protocol
@@ -18,13 +18,14 @@
 from msgspec import Meta
 
 from gorsefork.memory.call import Answer, Denied, Served
-from gorsefork.plans.book import Book, Standing, differences
+from gorsefork.plans.book import Book, Standing, customers, differences
 from gorsefork.plans.changes import MOST_TIME, Act, Change, Customer, Number, Refused
+from gorsefork.plans.smallest import Smallest
 from gorsefork.plans.spreading import Page
 from gorsefork.wire.acceptor import Exchange
 
 JSON, MSGPACK = "application/json", "application/msgpack"
-MOST_WAITING = 32  # questions of fellows that may stand open at once; more are answered at once
+MOST_WAITING = 32  # questions of peers that may stand open at once; more are answered at once
 LONGEST_WAIT_MS = 20_000
 MOST_ROWS = 500
 
@@ -209,9 +210,12 @@
     async def plans(self, asked: Asked) -> Any:
         page, book = msgspec.convert(asked.query, At, strict=False), self.keeper.book
         at = page.at or self.now()
-        names = [name for name in sorted(book.of) if name > page.after]
-        rows = [row(name, book.standing(name, at)) for name in names[: page.limit]]
-        return {"at": at, "customers": rows, "more": len(names) > page.limit}
+        first: Smallest[dict[str, Any]] = Smallest(page.limit)
+        async for place in places(book):
+            for name in customers(book, place):
+                if name > page.after and first.wants(name):
+                    first.add(name, row(name, book.standing(name, at)))
+        return {"at": at, "customers": first.values(), "more": first.more}
 
     async def plan(self, asked: Asked, customer: str) -> Any:
         page, book = msgspec.convert(asked.query, At, strict=False), self.keeper.book
@@ -221,18 +225,24 @@
             "at": at,
             **row(name, book.standing(name, at)),
             "next": book.next_boundary(name, at),
-            "history": [shown(change) for change in book.history(name)],
+            "history": [shown(change) for change in book.of_customer(name)],
         }
 
     async def changes(self, asked: Asked) -> Any:
-        page = msgspec.convert(asked.query, At, strict=False)
+        page, book = msgspec.convert(asked.query, At, strict=False), self.keeper.book
         after = self.keeper.number(page.after) if page.after else Number(0, "")
-        found = [change for change in self.keeper.book.history(page.customer) if change.number > after]
-        return {"changes": [shown(change) for change in found[: page.limit]], "more": len(found) > page.limit}
+        first: Smallest[Change] = Smallest(page.limit)
+        if page.customer is not None:
+            first.add_all(change for change in book.of_customer(page.customer) if change.number > after)
+        else:
+            first.add_all(change for change in book.log.of_customer(None) if change.number > after)
+            async for place in places(book):
+                first.add_all(change for change in book.log.part(place) if change.number > after)
+        return {"changes": [shown(change) for change in first.values()], "more": first.more}
 
     async def change(self, asked: Asked, text: str) -> Any:
         none(asked)
-        found = self.keeper.book.changes.get(self.keeper.number(text))
+        found = self.keeper.book.get(self.keeper.number(text))
         if found is None:
             raise Refused(f"no change {text} here", 404)
         return found
@@ -255,14 +265,18 @@
 
     async def diff(self, asked: Asked) -> Any:
         span, book = msgspec.convert(asked.query, Span, strict=False), self.keeper.book
-        old = book.at_number(self.keeper.number(span.since)) if span.since else Book()
-        new = book.at_number(self.keeper.number(span.to)) if span.to else book
+        since = self.keeper.number(span.since) if span.since else Number(0, "")
+        to = self.keeper.number(span.to) if span.to else None
         at = span.at or self.now()
-        rows = [
-            {"customer": name, "before": row(name, before), "after": row(name, after)}
-            for name, before, after in differences(old, new, at)
-        ]
-        return {"at": at, "customers": rows[:MOST_ROWS], "more": len(rows) > MOST_ROWS}
+        first: Smallest[dict[str, Any]] = Smallest(MOST_ROWS)
+        async for place in places(book):
+            changes = [*book.log.part(place), *book.log.of_customer(None)]
+            old = Book.replay(change for change in changes if change.number <= since)
+            new = Book.replay(change for change in changes if to is None or change.number <= to)
+            for name, before, after in differences(old, new, at):
+                both = {"customer": name, "before": row(name, before), "after": row(name, after)}
+                first.add(name, both)
+        return {"at": at, "customers": first.values(), "more": first.more}
 
     async def feed(self, asked: Asked) -> Any:
         feed = msgspec.convert(asked.query, Feed, strict=False)
@@ -275,6 +289,13 @@
         return Served(msgspec.msgpack.encode(page), MSGPACK) if asked.accept == MSGPACK else page
 
 
+async def places(book: Book) -> AsyncIterator[int]:
+    """The parts of the book's log; others run between two. A change that comes meanwhile is seen or not."""
+    for place in range(book.log.parts):
+        yield place
+        await trio.lowlevel.checkpoint()
+
+
 def none(asked: Asked) -> None:
     if asked.query:
         raise Refused(f"{next(iter(asked.query))}: is not known here", 400)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,7 +17,8 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.memory.clock import Clock
-from gorsefork.plans.changes import SECOND, Change, SetPlan, Stamps
+from gorsefork.plans.book import Book
+from gorsefork.plans.changes import SECOND, Change, Number, SetPlan, Stamps
 
 OTHER = "00000000b4d65522"
 CONTROL = '[control]\nlisten = "127.0.0.1:0"\ncatch_up_ms = 50\n'
@@ -46,6 +47,11 @@
     return json.loads(answer.partition("\r\n\r\n")[2])
 
 
+def numbers_in(book: Book) -> set[Number]:
+    parts = (change for place in range(book.log.parts) for change in book.log.part(place))
+    return {change.number for change in (*parts, *book.log.of_customer(None))}
+
+
 def reserve(rate: float, burst: float, starts: int, ends: int) -> dict[str, Any]:
     act = {"do": "reserve", "customer": CUSTOMER, "rate": rate, "burst": burst}
     return {"act": {**act, "starts": starts, "ends": ends}, "author": "ben"}
@@ -103,7 +109,7 @@
     async def main(world: World) -> None:
         assert reason in (await told(world, line, status))["error"]
         extra = world.ingresses[0].extra
-        assert extra is not None and not extra.keeper.book.changes
+        assert extra is not None and len(extra.keeper.book) == 0
 
     scenario("", operator=CONTROL, then=main)
 
@@ -170,13 +176,13 @@
         async def full(changes: Any) -> None:
             raise OSError("database or disk is full")
 
-        save = extra.keeper.shelf.save
-        extra.keeper.shelf.save = full  # type: ignore[method-assign]
+        save = extra.keeper.storage.save
+        extra.keeper.storage.save = full  # type: ignore[method-assign, assignment]
         said = await told(world, asks("POST", "/v1/changes", wanted(), "k1"), 507)
-        assert "cannot be kept" in said["error"] and not extra.keeper.book.changes
-        extra.keeper.shelf.save = save  # type: ignore[method-assign]
+        assert "cannot be kept" in said["error"] and len(extra.keeper.book) == 0
+        extra.keeper.storage.save = save  # type: ignore[method-assign]
         await told(world, asks("POST", "/v1/changes", wanted(), "k1"))
-        assert len(extra.keeper.book.changes) == 1
+        assert len(extra.keeper.book) == 1
 
     scenario("", operator=CONTROL, then=main)
 
@@ -203,7 +209,7 @@
             await told(world, asks("POST", "/v1/changes", wanted()))
             extra = world.ingresses[1].extra
             assert extra is not None
-            while not extra.keeper.book.changes:
+            while len(extra.keeper.book) == 0:
                 await extra.keeper.news.wait()
             for at in (0, 1):
                 await world.play(
@@ -262,7 +268,7 @@
 
         async def second(world: World) -> None:
             extra = world.ingresses[1].extra
-            assert extra is not None and len(extra.keeper.book.changes) == 1
+            assert extra is not None and len(extra.keeper.book) == 1
 
         scenario("", ingresses=2, operator=state.replace("50", "3000"), then=second)
 
@@ -295,7 +301,7 @@
             ahead = Change(now + 2 * Stamps.MOST_AHEAD, "n9", SetPlan(CUSTOMER, "rated", 1), "zoe")
             good = Change(now, "n9", SetPlan(OTHER, "rated", 1), "zoe")
             assert "ahead" in await extra.keeper.learn([ahead, good])
-            assert set(extra.keeper.book.changes) == {good.number}
+            assert numbers_in(extra.keeper.book) == {good.number}
             third = Change(now + 1, "n9", SetPlan(OTHER, "rated", 1), "zoe")
             with mock.patch("gorsefork.plans.book.MOST_CHANGES", 1):
                 assert "full" in await extra.keeper.learn([third])
@@ -303,9 +309,9 @@
             async def full(changes: Any) -> None:
                 raise OSError("no room")
 
-            extra.keeper.shelf.save = full  # type: ignore[method-assign]
+            extra.keeper.storage.save = full  # type: ignore[method-assign, assignment]
             assert "no room" in await extra.keeper.learn([third])
-            assert set(extra.keeper.book.changes) == {good.number}
+            assert numbers_in(extra.keeper.book) == {good.number}
 
         scenario("", operator=CONTROL, then=main)
 
--- a/tests/test_plan_book.py
+++ b/tests/test_plan_book.py
@@ -47,6 +47,20 @@
     return change(stamp, SetPlan(customer, plan, at, until), origin)
 
 
+def all_of(book: Book) -> list[Change]:
+    """Every change of a book, in order of number."""
+    parts = (change for place in range(book.log.parts) for change in book.log.part(place))
+    return sorted([*parts, *book.log.of_customer(None)], key=lambda change: change.number)
+
+
+def without_old(history: list[Change], horizon: int) -> Book:
+    """The book of a history once it has forgotten up to a horizon."""
+    book = Book.replay(history)
+    old = [change for place in range(book.log.parts) for change in book.forgettable(place, horizon)]
+    book.forget([*old, *book.forgettable_of_all(horizon)], horizon)
+    return book
+
+
 def plan_of(standing: Standing | None) -> str:
     if standing is None or standing.entry is None:
         return ""
@@ -84,7 +98,7 @@
     mixed = [*history, *history[: len(history) // 2]]
     rng.shuffle(mixed)
     one, other = Book.replay(history), Book.replay(mixed)
-    assert one.digest() == other.digest() and one.missing_in(other) == []
+    assert one.digest() == other.digest() and all_of(one) == all_of(other)
     for customer in (A, B):
         assert one.standing(customer, at) == other.standing(customer, at)
     assert list(differences(one, other, at)) == []
@@ -104,8 +118,8 @@
     history: list[Change], horizon: int, later: int
 ) -> None:
     book = Book.replay(history)
-    short = book.forgetting(horizon)
-    assert len(short.changes) <= len(book.changes)
+    short = without_old(history, horizon)
+    assert len(short) <= len(book)
     for customer in (A, B):
         old, new = book.standing(customer, horizon + later), short.standing(customer, horizon + later)
         assert plan_of(old) == plan_of(new)
@@ -168,12 +182,14 @@
         assert standing is not None and [c.stamp for c in standing.reservations] == numbers
 
 
-def test_a_snapshot_is_not_changed_by_what_comes_later() -> None:
+def test_a_book_of_the_changes_up_to_a_number_is_not_changed_by_what_comes_later() -> None:
     book = Book.replay([up(1, 0, "small")])
-    later = book.adding(up(2, 0))
-    assert plan_of(book.standing(A, 5)) == "small" and plan_of(later.standing(A, 5)) == "large"
-    assert plan_of(later.at_number(Number(1, "n0")).standing(A, 5)) == "small"
-    assert [c.stamp for c in later.missing_in(book)] == [2] and len(later.changes) == 2
+    before = Book.replay(all_of(book))
+    assert book.add(up(2, 0)) and not book.add(up(2, 0))
+    assert plan_of(before.standing(A, 5)) == "small" and plan_of(book.standing(A, 5)) == "large"
+    up_to = Book.replay(c for c in all_of(book) if c.number <= Number(1, "n0"))
+    assert plan_of(up_to.standing(A, 5)) == "small"
+    assert [c.stamp for c in all_of(book) if c not in all_of(before)] == [2] and len(book) == 2
 
 
 class TestRefused:
@@ -210,10 +226,13 @@
     def test_another_change_under_a_number_that_is_taken(self) -> None:
         book = Book.replay([up(1, 0)])
         with pytest.raises(Refused):
-            book.adding(up(1, 0, "small"))
+            book.add(up(1, 0, "small"))
+        with pytest.raises(Refused):
+            book.add(up(1, 0, customer=B))
+        assert all_of(book) == [up(1, 0)]
 
     def test_what_is_older_than_the_book_goes_back(self) -> None:
-        book = Book.replay([up(1, 0), up(20, 0)]).forgetting(10)
+        book = without_old([up(1, 0), up(20, 0)], 10)
         for act in (Rollback("1@n0", 30), Cancel(A, "1@n0", 30)):
             with pytest.raises(Refused):
                 book.admissible(change(30, act))
@@ -278,14 +297,16 @@
     def test_each_boundary_is_told_once_and_a_late_change_at_once(self) -> None:
         contracts = Contracts(PLANS)
         changes = [up(1, 10, until=30), change(2, Reserve(A, 1.0, 0.0, 20, 40)), up(3, 10, customer=B)]
-        book = Book.replay(changes)
-        assert contracts.take(book, changes, 5) == [A, B]
+        for each in changes:
+            contracts.book.add(each)
+        assert contracts.changed(changes, 5) == [A, B]
         seen = [(at, contracts.due(at)) for at in range(6, 50) if contracts.next_due() == at]
         assert seen == [(10, [A, B]), (20, [A]), (30, [A]), (40, [A])]
         late = change(4, Cancel(A, "2@n0", 25))
-        contracts = Contracts(PLANS)
-        contracts.take(book, changes, 22)
-        assert contracts.take(book.adding(late), [late], 26) == [A]
+        contracts = Contracts(PLANS, Book.replay(changes))
+        contracts.changed(changes, 22)
+        contracts.book.add(late)
+        assert contracts.changed([late], 26) == [A]
         terms = contracts.terms(A, 0, 26)
         assert terms is not None and terms.rate == 20.0
 
@@ -305,7 +326,7 @@
         follower, pages = Follower("peer"), 0
         while True:
             page = arrivals.page(follower.life, follower.position, book)
-            there = Book.replay([*there.changes.values(), *page.changes])
+            there = Book.replay([*all_of(there), *page.changes])
             follower.heard(page, now=0)
             pages += 1
             if page.position == page.newest:
@@ -314,8 +335,10 @@
         assert arrivals.page(follower.life, follower.position, book).changes == ()
 
     def test_a_new_life_or_a_position_too_old_is_told_the_whole_book(self) -> None:
-        book = Book.replay([up(1, 0)])
+        book = Book()
         arrivals = Arrivals("life", book)
+        book.add(up(1, 0))
+        arrivals.add(up(1, 0))
         assert arrivals.page("other", 1, book).whole
         assert not arrivals.page("life", 0, book).whole
         for _ in range(MOST_KEPT):
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -10,11 +10,13 @@
 
 import pytest
 
-from gorsefork.plans.book import Book
+from gorsefork.configuration.records import Record
+from gorsefork.configuration.store import RecordStore
+from gorsefork.life.plan_records import KIND, load_book, record_of
 from gorsefork.plans.changes import Change, SetPlan
-from gorsefork.storage.books import DurableBook
 from gorsefork.storage.database import FORMAT, BadState, Database, WriteFailed
 from gorsefork.storage.faults import POINTS
+from gorsefork.storage.records import DurableRecords
 from gorsefork.storage.uses import DurableStore
 from gorsefork.usage.records import Use
 from gorsefork.usage.store import Unkept
@@ -51,6 +53,10 @@
     return Change(stamp, "n0", SetPlan(CUSTOMER, f"plan-{stamp}", stamp), "ana")
 
 
+def records_in(database: Database) -> list[Record]:
+    return [record for leaf in DurableRecords(database).leaves(KIND) for record in leaf]
+
+
 def export(store: DurableStore, ledger: Ledger, most: int = 2) -> None:
     while (batch := store.batch(most)) is not None:
         status, upto = ledger.take(batch)
@@ -69,12 +75,12 @@
     def run(self, folder: Path, fault: Callable[[str], None]) -> None:
         database = Database(folder, "n0", "normal", fault)
         try:
-            store, books = DurableStore(database, now=100), DurableBook(database)
+            store, records = DurableStore(database, now=100), DurableRecords(database)
             for stamp, (first, last) in enumerate(GROUPS, 1):
                 numbers = range(first, last + 1)
                 store.append([use(number) for number in numbers])
                 self.kept |= set(numbers)
-                books.save([change(stamp)])
+                records.save([record_of(change(stamp))])
                 self.changes.add(stamp)
                 batch = store.batch(3)
                 assert batch is not None
@@ -82,7 +88,7 @@
                 store.acknowledge(batch.life, upto, False)
             store.probe()
             database.checkpoint()
-            books.forget(books.load().forgetting(2))
+            records.forget([record_of(change(1))], 2)
             self.changes.discard(1)
             store.end()
         finally:
@@ -120,7 +126,7 @@
             if first_life is not None:
                 assert first_life.whole and not first_life.contradictions and not first_life.missing
                 assert all(each == use(number) for number, each in first_life.uses.items())
-            stamps = {each.stamp for each in DurableBook(database).load().changes.values()}
+            stamps = {record.stamp for record in records_in(database)}
             assert day.changes <= stamps | {1}, (point, occurrence)
             store.end()
             export(store, ledger)
@@ -179,13 +185,13 @@
     with pytest.raises(Unkept):
         store.append([use(n) for n in range(number, number + 200)])
     with pytest.raises(WriteFailed):
-        DurableBook(database).save([change(n) for n in range(1, 500)])
+        DurableRecords(database).save([record_of(change(n)) for n in range(1, 500)])
     database.sql.execute("PRAGMA max_page_count = 100000")
     store.append([use(number)])
     ledger = Ledger()
     export(store, ledger, most=70)
     assert set(ledger.lives()[0].uses) == set(range(1, number + 1))
-    assert DurableBook(database).load().changes == Book().changes
+    assert records_in(database) == []
     database.close()
 
 
@@ -250,7 +256,7 @@
 
     def test_a_change_that_cannot_be_read(self, tmp_path: Path) -> None:
         database = Database(tmp_path / "n0", "n0")
-        database.sql.execute("INSERT INTO changes VALUES (1, 'n0', x'c1')")
+        database.sql.execute(f"INSERT INTO records VALUES (1, 'plan', '{CUSTOMER}', 1, 'n0', 'ana', x'c1')")
         with pytest.raises(BadState, match="a change cannot be read"):
-            DurableBook(database).load()
+            load_book(DurableRecords(database), RecordStore(), now=1)
         database.close()
