--- a/gorsefork/configuration/store.py
+++ b/gorsefork/configuration/store.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import itertools
 from array import array
 from bisect import bisect_left
 from collections import defaultdict, deque
@@ -187,6 +188,28 @@
                 results[place] = result
         return results
 
+    def put_back(self, number: int, records: Sequence[Record]) -> None:
+        """Fill a leaf that is empty still with what a store had there: in order of identity, each once.
+
+        For loading: a leaf at once, without the checks that each record passed when it was added.
+        ``ValueError`` for what is no such leaf; ``RecordRefused`` (NO_ROOM) beyond a bound of the store.
+        """
+        found = [fields(record) for record in records]
+        identities = [each[:4] for each in found]
+        keys = {each[:2] for each in found}
+        if self.leaves[number] != EMPTY or any(leaf_of(kind, key) != number for kind, key in keys):
+            raise ValueError(f"these records are not of leaf {number}")
+        if any(one >= next_one for one, next_one in itertools.pairwise(identities)):
+            raise ValueError(f"the records of leaf {number} are not in their order")
+        if self.count + len(found) > self.limits.records or self.size > self.limits.size:
+            raise RecordRefused(Refusal.NO_ROOM, f"{self.limits.records} records, {self.limits.size} bytes")
+        marks = 0
+        for record in records:
+            marks ^= record.mark()
+        self.newest = max(self.newest, *(record.version for record in records))
+        self.count += len(found)
+        self._put(number, found, marks)
+
     def _add_to_leaf(
         self, number: int, records: Sequence[Record], raising: bool = True
     ) -> list[bool | RecordRefused]:
--- a/gorsefork/life/plan_records.py
+++ b/gorsefork/life/plan_records.py
@@ -86,7 +86,7 @@
         )
 
     def enter(self, record: Record) -> None:
-        self.numbers.add(Number(record.stamp, record.origin), record.key)
+        self.numbers.add((record.stamp, record.origin), record.key)
         self.count += 1
 
     def read_everyones(self) -> None:
@@ -96,7 +96,7 @@
         records = [record_of(change) for change in changes]
         self.count -= self.store.discard(records)
         for record in records:
-            self.numbers.discard(Number(record.stamp, record.origin), record.key)
+            self.numbers.discard((record.stamp, record.origin), record.key)
         self.read_everyones()
 
     def digest(self) -> str:
@@ -111,13 +111,13 @@
     log = PlanRecords(store)
     book = Book(log, durable.horizon)
     try:
-        for records in durable.leaves(KIND):
-            for record, outcome in zip(records, store.add_all(records), strict=True):
-                if isinstance(outcome, RecordRefused):
-                    raise outcome
+        for number, records in durable.leaves(KIND):
+            store.put_back(number, records)
+            for record in records:
                 log.enter(record)
                 book.loaded(change_of(record), now)
-    except RecordRefused as refused:
-        raise durable.unreadable(str(refused)) from None
+    except (ValueError, RecordRefused) as error:
+        raise durable.unreadable(str(error)) from None
+    book.newest = Number(*store.newest) if len(store) else None
     log.read_everyones()
     return book
--- a/gorsefork/plans/book.py
+++ b/gorsefork/plans/book.py
@@ -81,22 +81,18 @@
         """One more change; False if it is there already. ``Refused`` if it contradicts the book."""
         if not self.log.add(change):
             return False
-        self.noted(change)
+        self.keys.note(change)
+        if self.newest is None or change.number > self.newest:
+            self.newest = change.number
         return True
 
     def loaded(self, change: Change, now: int) -> None:
         """What follows from a change that the log had before this book, at the start of the program."""
-        self.noted(change)
+        self.keys.note(change)
         for boundary in change.boundaries():
             if boundary > now:
                 self.ahead.watch_earlier(change.customer or EVERYONE, boundary)
 
-    def noted(self, change: Change) -> None:
-        self.keys.note(change)
-        number = change.number
-        if self.newest is None or number > self.newest:
-            self.newest = number
-
     def is_new(self, change: Change) -> bool:
         """Whether the book lacks a change. ``Refused``: its number is another's."""
         known = self.get(change.number)
--- a/gorsefork/plans/number_index.py
+++ b/gorsefork/plans/number_index.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Iterator
 
-from gorsefork.plans.changes import Number
-
 BUCKETS = 1024
 HASH_BYTES, CUSTOMER_BYTES = 4, 8
 ENTRY = HASH_BYTES + CUSTOMER_BYTES
@@ -21,12 +19,12 @@
     def __init__(self) -> None:
         self.buckets = [bytearray() for _ in range(BUCKETS)]
 
-    def add(self, number: Number, customer: str) -> None:
-        """``customer``: 16 hexadecimal digits, or empty for all."""
+    def add(self, number: tuple[int, str], customer: str) -> None:
+        """``number``: stamp and origin. ``customer``: 16 hexadecimal digits, or empty for all."""
         hashed, bucket = self.place(number)
         bucket += hashed + (bytes.fromhex(customer) if customer else EVERYONE)
 
-    def discard(self, number: Number, customer: str) -> None:
+    def discard(self, number: tuple[int, str], customer: str) -> None:
         hashed, bucket = self.place(number)
         entry = hashed + (bytes.fromhex(customer) if customer else EVERYONE)
         for start in range(0, len(bucket), ENTRY):
@@ -34,7 +32,7 @@
                 del bucket[start : start + ENTRY]
                 return
 
-    def candidates(self, number: Number) -> Iterator[str]:
+    def candidates(self, number: tuple[int, str]) -> Iterator[str]:
         hashed, bucket = self.place(number)
         start = bucket.find(hashed)
         while start >= 0:
@@ -45,6 +43,6 @@
                     yield ""
             start = bucket.find(hashed, start + 1)
 
-    def place(self, number: Number) -> tuple[bytes, bytearray]:
-        value = hash(number) & (1 << 62) - 1
+    def place(self, number: tuple[int, str]) -> tuple[bytes, bytearray]:
+        value = hash(number)
         return (value >> 10 & 0xFFFFFFFF).to_bytes(HASH_BYTES, "big"), self.buckets[value % BUCKETS]
--- a/gorsefork/plans/recent_keys.py
+++ b/gorsefork/plans/recent_keys.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import heapq
+import sys
 from hashlib import blake2s
 
 from gorsefork.plans.changes import Change, Number
 
-MOST_KEYS = 8192  # almost six days at 1,400 changes a day
+MOST_KEYS = 4096  # almost three days at 1,400 changes a day
 
 
 class RecentKeys:
@@ -25,7 +26,7 @@
         """Of two changes with one key the newer one counts."""
         if not change.key:
             return
-        hashed, number = hash_of(change.key), change.number
+        hashed, number = hash_of(change.key), Number(change.stamp, sys.intern(change.origin))
         known = self.by_hash.get(hashed)
         if known is not None and known[0] >= number:
             return
--- a/gorsefork/storage/records.py
+++ b/gorsefork/storage/records.py
@@ -13,6 +13,10 @@
 from gorsefork.storage.database import BadState, Database
 from gorsefork.storage.rows import SAVE, row_of
 
+LOAD = """
+SELECT leaf, kind, key, stamp, origin, author, body FROM records WHERE kind = ?
+ORDER BY leaf, key, stamp, origin
+"""
 FORGET = "DELETE FROM records WHERE leaf = ? AND kind = ? AND key = ? AND stamp = ? AND origin = ?"
 
 
@@ -28,15 +32,12 @@
         found = self.database.sql.execute("SELECT value FROM meta WHERE key = 'horizon'").fetchone()
         return int(found[0]) if found else 0
 
-    def leaves(self, kind: str) -> Iterator[list[Record]]:
+    def leaves(self, kind: str) -> Iterator[tuple[int, list[Record]]]:
         """All records of a kind, leaf by leaf as the store has them. ``BadState`` for what is no record."""
-        rows = self.database.sql.execute(
-            "SELECT leaf, kind, key, stamp, origin, author, body FROM records WHERE kind = ? ORDER BY leaf",
-            (kind,),
-        )
+        rows = self.database.sql.execute(LOAD, (kind,))
         try:
-            for _, group in groupby(rows, key=itemgetter(0)):
-                yield msgspec.convert([row[1:] for row in group], list[Record])
+            for number, group in groupby(rows, key=itemgetter(0)):
+                yield number, msgspec.convert([row[1:] for row in group], list[Record])
         except (msgspec.ValidationError, sqlite3.DatabaseError) as error:
             raise self.unreadable(str(error)) from None
 
