--- a/gorsefork/configuration/store.py
+++ b/gorsefork/configuration/store.py
@@ -194,6 +194,8 @@
         For loading: a leaf at once, without the checks that each record passed when it was added.
         ``ValueError`` for what is no such leaf; ``RecordRefused`` (NO_ROOM) beyond a bound of the store.
         """
+        if not records:
+            return
         found = [fields(record) for record in records]
         identities = [each[:4] for each in found]
         keys = {each[:2] for each in found}
@@ -206,7 +208,7 @@
         marks = 0
         for record in records:
             marks ^= record.mark()
-        self.newest = max(self.newest, *(record.version for record in records))
+        self.newest = max(self.newest, Version(*max(each[2:4] for each in found)))
         self.count += len(found)
         self._put(number, found, marks)
 
@@ -246,7 +248,7 @@
 
     def _put(self, number: int, found: list[Fields], marks: int) -> None:
         """Pack a leaf anew; ``marks``: the exclusive or of what came and what went."""
-        packed = pack(found)
+        packed = bytes(memoryview(pack(found)))  # a copy of its exact size: the encoder's has room to spare
         self.size += len(packed) - len(self.leaves[number])
         self.leaves[number] = packed
         node = number
--- a/gorsefork/life/plan_records.py
+++ b/gorsefork/life/plan_records.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from gorsefork.configuration.records import MOST_BODY, Record, RecordRefused, Refusal
-from gorsefork.configuration.store import LEAVES, RecordStore
+from gorsefork.configuration.store import LEAVES, RecordStore, leaf_of
 from gorsefork.plans.bodies import Unreadable, packed, unpacked
 from gorsefork.plans.book import Book
 from gorsefork.plans.changes import Change, Number, Refused
@@ -51,10 +51,10 @@
         return self.count
 
     def get(self, number: Number) -> Change | None:
-        for customer in self.numbers.candidates(number):
-            for change in self.of_customer(customer or None):
-                if change.number == number:
-                    return change
+        for leaf in self.numbers.candidates(number):
+            for record in self.store.leaf(leaf):
+                if Number(*record.version) == number and record.kind == KIND:
+                    return change_of(record)
         return None
 
     def of_customer(self, customer: str | None) -> list[Change]:
@@ -74,7 +74,7 @@
         except RecordRefused as refused:
             raise Refused(str(refused), 409 if refused.refusal is Refusal.CONTRADICTION else 507) from None
         if replaced is None:
-            self.enter(record)
+            self.enter(record, leaf_of(KIND, record.key))
         if record.key == "":
             self.read_everyones()
         return True
@@ -85,8 +85,8 @@
             len(self.store) + more <= limits.records and self.store.size + more * MOST_PACKED <= limits.size
         )
 
-    def enter(self, record: Record) -> None:
-        self.numbers.add((record.stamp, record.origin), record.key)
+    def enter(self, record: Record, leaf: int) -> None:
+        self.numbers.add((record.stamp, record.origin), leaf)
         self.count += 1
 
     def read_everyones(self) -> None:
@@ -96,7 +96,7 @@
         records = [record_of(change) for change in changes]
         self.count -= self.store.discard(records)
         for record in records:
-            self.numbers.discard((record.stamp, record.origin), record.key)
+            self.numbers.discard((record.stamp, record.origin), leaf_of(KIND, record.key))
         self.read_everyones()
 
     def digest(self) -> str:
@@ -114,7 +114,7 @@
         for number, records in durable.leaves(KIND):
             store.put_back(number, records)
             for record in records:
-                log.enter(record)
+                log.enter(record, number)
                 book.loaded(change_of(record), now)
     except (ValueError, RecordRefused) as error:
         raise durable.unreadable(str(error)) from None
