--- a/gorsefork/life/keeper.py
+++ b/gorsefork/life/keeper.py
@@ -19,6 +19,7 @@
 
 DAY = 86_400 * SECOND
 RETENTION = 90 * DAY  # us: what has held no more for so long is forgotten
+FIRST_TIDY = 600 * SECOND  # after the start
 TEMPORARY = (425, 507)  # refusals that may be none later: a clock that runs ahead, no room
 MOST_TOLD = 1024  # refused changes that are remembered, so that each is logged once
 REFUSALS = {
@@ -285,10 +286,13 @@
             raise Refused(str(error), 400) from None
 
     async def run(self) -> None:
-        """Tell of the times at which terms change by themselves, and forget what is long past, once a day."""
-        day = self.clock.unix_us() // DAY
+        """Tell of the times at which terms change by themselves, and forget what is long past, once a day.
+
+        The first time is a while after the start, so that what the peers have is here by then.
+        """
+        tidy_at = self.clock.unix_us() + FIRST_TIDY
         while True:
-            wake = (day + 1) * DAY
+            wake = tidy_at
             if (due := self.contracts.next_due()) is not None:
                 wake = min(wake, due)
             if not self.everyone_changed:
@@ -307,8 +311,8 @@
             if self.everyone_changed:
                 self.everyone_changed = False
                 await self.tell_everyone()
-            if now // DAY > day:
-                day = now // DAY
+            if now >= tidy_at:
+                tidy_at = (now // DAY + 1) * DAY
                 await self.tidy()
 
     async def tell_everyone(self) -> None:
--- a/gorsefork/storage/database.py
+++ b/gorsefork/storage/database.py
@@ -144,7 +144,7 @@
         try:
             with self.transaction("migrate") as sql:
                 sql.execute(RECORDS)
-                migrate_changes(sql)
+                migrate_changes(sql, self.fault)
                 sql.execute(f"PRAGMA user_version = {FORMAT}")
         except Unreadable as error:
             raise BadState(f"state.folder: {self.folder}: a change cannot be read ({error})") from None
--- a/gorsefork/storage/faults.py
+++ b/gorsefork/storage/faults.py
@@ -12,7 +12,8 @@
     "checkpoint.done",
     *(f"{name}.{step}" for name in TRANSACTIONS for step in ("begun", "written", "committed")),
 )
-MIGRATION_POINTS = ("migrate.begun", "migrate.written", "migrate.committed")  # in a folder of an older format
+MIGRATION_STEPS = ("begun", "row", "dropped", "written", "committed")
+MIGRATION_POINTS = tuple(f"migrate.{step}" for step in MIGRATION_STEPS)  # in a folder of an older format
 Fault = Callable[[str], None]
 
 
--- a/gorsefork/storage/migration.py
+++ b/gorsefork/storage/migration.py
@@ -9,19 +9,23 @@
 from gorsefork.configuration.records import Record
 from gorsefork.plans.bodies import Unreadable, packed
 from gorsefork.plans.changes import Change
+from gorsefork.storage.faults import Fault
 from gorsefork.storage.rows import SAVE, row_of
 
 PLAN = "plan"  # the kind of record that a change becomes
 
 
-def migrate_changes(sql: sqlite3.Connection) -> None:
+def migrate_changes(sql: sqlite3.Connection, fault: Fault) -> None:
     """Within the caller's transaction: every row of ``changes`` becomes a record, and the table goes.
 
     ``Unreadable`` for a change that cannot be read; the caller rolls back, and the folder stays as it was.
     """
     rows = sql.execute("SELECT body FROM changes ORDER BY stamp, origin")
-    sql.executemany(SAVE, (row_of(record_of(body)) for (body,) in rows))
+    for (body,) in rows:
+        sql.execute(SAVE, row_of(record_of(body)))
+        fault("migrate.row")
     sql.execute("DROP TABLE changes")
+    fault("migrate.dropped")
 
 
 def record_of(body: bytes) -> Record:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -377,6 +377,7 @@
         "msgspec",
         "pydantic",
         "pyrsistent",
+        "gorsefork.configuration",
         "structlog",
         "sqlite3",
         "click",
--- a/tests/test_plan_records.py
+++ b/tests/test_plan_records.py
@@ -15,6 +15,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_plan_book import A, B, all_of, change, histories, times, up
@@ -22,7 +23,7 @@
 from gorsefork.configuration.records import Record, RecordRefused, Refusal
 from gorsefork.configuration.store import LEAVES, Limits, RecordStore, leaf_of
 from gorsefork.decisions import interface as i
-from gorsefork.life.keeper import DAY, RETENTION, NoStorage, PlanKeeper, RecordStorage
+from gorsefork.life.keeper import DAY, FIRST_TIDY, RETENTION, NoStorage, PlanKeeper, RecordStorage
 from gorsefork.life.plan_records import KIND, PlanRecords, change_of, load_book, record_of
 from gorsefork.memory.clock import Clock
 from gorsefork.plans import recent_keys, spreading
@@ -499,6 +500,39 @@
     run(main)
 
 
+class VirtualClock(FixedClock):
+    """Unix time that goes on with trio's mock clock."""
+
+    def unix_us(self) -> int:
+        return NOW + round(trio.current_time() * SECOND)
+
+    def from_unix_us(self, at: int) -> int:
+        return at - NOW
+
+    def trio_deadline(self, at: int) -> float:
+        return at / SECOND
+
+
+def test_the_book_is_tidied_a_while_after_the_start_and_at_the_beginning_of_each_day() -> None:
+    async def main() -> None:
+        ingress = Ingress()
+        ingress.keeper.clock = clock = VirtualClock()
+        done: list[int] = []
+
+        async def tidy() -> None:
+            done.append(clock.unix_us())
+            if len(done) == 3:
+                nursery.cancel_scope.cancel()
+
+        ingress.keeper.tidy = tidy  # type: ignore[method-assign]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ingress.keeper.run)
+        midnight = (NOW // DAY + 1) * DAY
+        assert done == [NOW + FIRST_TIDY, midnight, midnight + DAY]
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def test_a_rollback_of_all_is_told_to_every_customer_a_few_at_a_time() -> None:
     async def main() -> None:
         ingress = Ingress(book=packed_book(up(n, n, customer=customer(n)) for n in range(1, 400)))
