--- a/tests/test_plan_records.py
+++ b/tests/test_plan_records.py
@@ -544,6 +544,9 @@
             ingress.changed.extend(names)
 
         ingress.keeper.terms_changed = count
+        contracts = ingress.keeper.contracts
+        before = contracts.terms(customer(9), 0, NOW)
+        assert before is not None and before.name == "large"
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ingress.keeper.run)
             await ingress.keeper.make(Rollback("1@n0", NOW), "ana")
@@ -552,7 +555,8 @@
                     await trio.lowlevel.checkpoint()
             nursery.cancel_scope.cancel()
         assert sorted(ingress.changed) == [customer(n) for n in range(1, 400)] and max(told) < 8
-        assert ingress.keeper.contracts.terms(customer(9), 0, NOW) is not None
+        after = contracts.terms(customer(9), 0, NOW)
+        assert after is not None and after.name == "small"  # the plan that the call names
 
     run(main)
 
@@ -625,6 +629,13 @@
 ]
 
 
+def format_of(folder: Path) -> int:
+    sql = sqlite3.connect(folder / "state.db")
+    version = int(sql.execute("PRAGMA user_version").fetchone()[0])
+    sql.close()
+    return version
+
+
 def check_carried_over(folder: Path) -> None:
     database = Database(folder, "n0", "normal")
     book = load_book(DurableRecords(database), RecordStore(), now=NOW)
@@ -671,6 +682,7 @@
     folder = old_folder(tmp_path / "n0", OLD)
     with pytest.raises(BadState, match="belongs to ingress n0"):
         Database(folder, "n1", "normal")
+    assert format_of(folder) == 1
     check_carried_over(folder)
     broken = old_folder(tmp_path / "broken", OLD, body=b"\xc1")
     for _ in (0, 1):
@@ -678,8 +690,8 @@
             Database(broken, "n0", "normal")
     sql = sqlite3.connect(broken / "state.db")
     assert sql.execute("SELECT count(*) FROM changes").fetchone() == (len(OLD) + 1,)
-    assert sql.execute("PRAGMA user_version").fetchone() == (1,)
     sql.close()
+    assert format_of(broken) == 1
 
 
 def test_records_in_a_leaf_that_is_not_theirs_are_told(tmp_path: Path) -> None:
