--- a/gorsefork/configuration/store.py
+++ b/gorsefork/configuration/store.py
@@ -198,7 +198,7 @@
             return
         found = [fields(record) for record in records]
         identities = [each[:4] for each in found]
-        keys = {each[:2] for each in found}
+        keys = dict.fromkeys(each[:2] for each in found)
         if self.leaves[number] != EMPTY or any(leaf_of(kind, key) != number for kind, key in keys):
             raise ValueError(f"these records are not of leaf {number}")
         if any(one >= next_one for one, next_one in itertools.pairwise(identities)):
--- a/gorsefork/life/plan_records.py
+++ b/gorsefork/life/plan_records.py
@@ -6,7 +6,7 @@
 
 from gorsefork.configuration.records import MOST_BODY, Record, RecordRefused, Refusal
 from gorsefork.configuration.store import LEAVES, RecordStore, leaf_of
-from gorsefork.plans.bodies import Unreadable, packed, unpacked
+from gorsefork.plans.bodies import Unreadable, packed, read, unpacked
 from gorsefork.plans.book import Book
 from gorsefork.plans.changes import Change, Number, Refused
 from gorsefork.plans.number_index import NumberIndex
@@ -111,11 +111,13 @@
     log = PlanRecords(store)
     book = Book(log, durable.horizon)
     try:
-        for number, records in durable.leaves(KIND):
-            store.put_back(number, records)
+        for leaf, records in durable.leaves(KIND):
+            store.put_back(leaf, records)
             for record in records:
-                log.enter(record, number)
-                book.loaded(change_of(record), now)
+                log.enter(record, leaf)
+                body = read(record.key, record.body)
+                if body.key or body.latest() > now:
+                    book.loaded(change_of(record), now)
     except (ValueError, RecordRefused) as error:
         raise durable.unreadable(str(error)) from None
     book.newest = Number(*store.newest) if len(store) else None
--- a/gorsefork/plans/bodies.py
+++ b/gorsefork/plans/bodies.py
@@ -43,6 +43,10 @@
     def act(self, customer: str) -> Act:
         return SetPlan(customer, self.plan, self.effective, self.until)
 
+    def latest(self) -> int:
+        """The last time at which the act may change somebody's terms. Microseconds of Unix time."""
+        return max(self.effective, self.until)
+
 
 class ReserveBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag=2):
     note: Text
@@ -55,6 +59,9 @@
     def act(self, customer: str) -> Act:
         return Reserve(customer, self.rate, self.burst, self.starts, self.ends)
 
+    def latest(self) -> int:
+        return self.ends
+
 
 class CancelBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag=3):
     note: Text
@@ -65,6 +72,9 @@
     def act(self, customer: str) -> Act:
         return Cancel(customer, self.number, self.effective)
 
+    def latest(self) -> int:
+        return self.effective
+
 
 class RollbackBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag=4):
     note: Text
@@ -75,6 +85,9 @@
     def act(self, customer: str) -> Act:
         return Rollback(self.to, self.effective, customer or None)
 
+    def latest(self) -> int:
+        return self.effective
+
 
 Body = SetPlanBody | ReserveBody | CancelBody | RollbackBody
 ENCODER = msgspec.msgpack.Encoder()
@@ -96,12 +109,18 @@
     return ENCODER.encode(body)
 
 
-def unpacked(customer: str, stamp: int, origin: str, author: str, body: bytes) -> Change:
-    """The change of a record; ``customer`` is empty for a rollback of all. ``Unreadable`` if it is none."""
+def read(customer: str, body: bytes) -> Body:
+    """What is in a body; ``customer`` is empty for a rollback of all. ``Unreadable`` if it is no change."""
     try:
-        read = DECODER.decode(body)
+        found = DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise Unreadable(str(error)) from None
-    if CUSTOMER.fullmatch(customer) is None and not (customer == "" and isinstance(read, RollbackBody)):
+    if CUSTOMER.fullmatch(customer) is None and not (customer == "" and isinstance(found, RollbackBody)):
         raise Unreadable(f"{customer!r} is no customer")
-    return Change(stamp, origin, read.act(customer), author, read.note, read.key)
+    return found
+
+
+def unpacked(customer: str, stamp: int, origin: str, author: str, body: bytes) -> Change:
+    """The change of a record. ``Unreadable`` if it is none."""
+    found = read(customer, body)
+    return Change(stamp, origin, found.act(customer), author, found.note, found.key)
--- a/gorsefork/plans/book.py
+++ b/gorsefork/plans/book.py
@@ -87,7 +87,7 @@
         return True
 
     def loaded(self, change: Change, now: int) -> None:
-        """What follows from a change that the log had before this book, at the start of the program."""
+        """Note the key and the times to come of a change that the log had before this book."""
         self.keys.note(change)
         for boundary in change.boundaries():
             if boundary > now:
--- a/gorsefork/storage/records.py
+++ b/gorsefork/storage/records.py
@@ -14,8 +14,8 @@
 from gorsefork.storage.rows import SAVE, row_of
 
 LOAD = """
-SELECT leaf, kind, key, stamp, origin, author, body FROM records WHERE kind = ?
-ORDER BY leaf, key, stamp, origin
+SELECT kind, key, stamp, origin, author, body, leaf FROM records WHERE kind = ?
+ORDER BY leaf, kind, key, stamp, origin
 """
 FORGET = "DELETE FROM records WHERE leaf = ? AND kind = ? AND key = ? AND stamp = ? AND origin = ?"
 
@@ -36,8 +36,8 @@
         """All records of a kind, leaf by leaf as the store has them. ``BadState`` for what is no record."""
         rows = self.database.sql.execute(LOAD, (kind,))
         try:
-            for number, group in groupby(rows, key=itemgetter(0)):
-                yield number, msgspec.convert([row[1:] for row in group], list[Record])
+            for leaf, group in groupby(rows, key=itemgetter(-1)):
+                yield leaf, msgspec.convert(list(group), list[Record])  # the leaf is one field more
         except (msgspec.ValidationError, sqlite3.DatabaseError) as error:
             raise self.unreadable(str(error)) from None
 
