--- a/gorsefork/plans/book.py
+++ b/gorsefork/plans/book.py
@@ -125,9 +125,6 @@
         """All that concerns one customer, in order of number."""
         return merged(self.log.of_customer(customer), self.log.of_customer(None))
 
-    def live(self, customer: str, at: int) -> list[Change]:
-        return live_among(self.of_customer(customer), at)
-
     def standing(self, customer: str, at: int) -> Standing | None:
         """What holds for a customer at that time; None if this book never changed anything for it by then."""
         own = self.log.of_customer(customer)
--- a/tests/test_plan_records.py
+++ b/tests/test_plan_records.py
@@ -44,6 +44,7 @@
 from gorsefork.plans.contracts import Contracts
 from gorsefork.plans.forgetting import Forgetting
 from gorsefork.plans.number_index import NumberIndex
+from gorsefork.plans.smallest import Smallest
 from gorsefork.plans.spreading import Follower
 from gorsefork.storage.database import FORMAT, BadState, Database, WriteFailed
 from gorsefork.storage.faults import MIGRATION_POINTS
@@ -397,6 +398,31 @@
     run(main)
 
 
+def test_what_is_made_put_or_learned_here_is_published_and_what_the_replicator_brings_is_not() -> None:
+    async def main() -> None:
+        ingress = Ingress()
+        keeper = ingress.keeper
+        made = await keeper.make(set_plan(), "ana", key="k1")
+        assert await keeper.make(set_plan(), "ana", key="k1") == made
+        await keeper.put(change_of(record(NOW - 1)))
+        assert await keeper.learn([made, change_of(record(NOW - 2)), change_of(record(NOW - 3, B))]) == ""
+        assert refusals(await keeper.take_records([record(NOW - 4), record(NOW - 1)])) == [None, None]
+        assert ingress.published == [record_of(made), record(NOW - 1), record(NOW - 2), record(NOW - 3, B)]
+        assert len(ingress.book) == 5
+
+    run(main)
+
+
+@given(st.lists(st.integers(0, 30), max_size=40), st.integers(1, 9))
+def test_the_first_few_of_a_stream_are_those_of_the_sorted_whole(keys: list[int], most: int) -> None:
+    first: Smallest[int] = Smallest(most)
+    for key in dict.fromkeys(keys):
+        first.add(key, -key)
+        assert len(first.found) <= 2 * most
+    assert first.values() == [-key for key in sorted(set(keys))[:most]]
+    assert first.more == (len(set(keys)) > most)
+
+
 def test_records_are_refused_one_by_one_and_the_rest_is_taken() -> None:
     async def main() -> None:
         ingress = Ingress(disk := Disk())
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -14,6 +14,7 @@
 from gorsefork.configuration.store import RecordStore
 from gorsefork.life.plan_records import KIND, load_book, record_of
 from gorsefork.plans.changes import Change, SetPlan
+from gorsefork.plans.forgetting import Forgetting
 from gorsefork.storage.database import FORMAT, BadState, Database, WriteFailed
 from gorsefork.storage.faults import POINTS
 from gorsefork.storage.records import DurableRecords
@@ -88,7 +89,12 @@
                 store.acknowledge(batch.life, upto, False)
             store.probe()
             database.checkpoint()
-            records.forget([record_of(change(1))], 2)
+            forgetting = Forgetting(book := load_book(records, RecordStore(), now=100), 3)
+            for place in range(book.log.parts):
+                forgetting.look_at(place)
+            gone = forgetting.finish()
+            assert gone == [change(1)]
+            records.forget([record_of(each) for each in gone], 3)
             self.changes.discard(1)
             store.end()
         finally:
