--- a/gorsefork/life/keeper.py
+++ b/gorsefork/life/keeper.py
@@ -9,7 +9,7 @@
 import trio
 
 from gorsefork.configuration.records import Record, RecordRefused, Refusal
-from gorsefork.life.plan_records import change_of, record_of
+from gorsefork.life.plan_records import canonical_change_of, record_of
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.ports import Log
 from gorsefork.plans.book import Book, Pending, customers
@@ -133,7 +133,7 @@
         readable: list[tuple[int, Change]] = []
         for place, record in enumerate(records):
             try:
-                readable.append((place, change_of(record)))
+                readable.append((place, canonical_change_of(record)))
             except RecordRefused as refused:
                 results[place] = refused
                 self.tell_refused(record.key, Number(record.stamp, record.origin), str(refused))
--- a/gorsefork/life/plan_records.py
+++ b/gorsefork/life/plan_records.py
@@ -33,6 +33,19 @@
         ) from None
 
 
+def canonical_change_of(record: Record) -> Change:
+    """The same for what others send: refused too if this ingress would write its body otherwise.
+
+    Or it would hold a record of another digest than its sender, and the two would never agree.
+    """
+    change = change_of(record)
+    if packed(change) != record.body:
+        raise RecordRefused(
+            Refusal.UNREADABLE, f"{record.key} {record.stamp}@{record.origin}: not in its one form"
+        )
+    return change
+
+
 class PlanRecords:
     """A ``ChangeLog``. The store keeps records packed; changes are made from them when asked for.
 
--- a/tests/test_plan_records.py
+++ b/tests/test_plan_records.py
@@ -448,6 +448,19 @@
     run(main)
 
 
+def test_a_body_that_would_be_kept_otherwise_than_it_came_is_refused() -> None:
+    async def main() -> None:
+        ingress = Ingress(disk := Disk())
+        body = msgspec.msgpack.encode([2, "", "", 5, 1.0, NOW, NOW + SECOND])  # 5 where 5.0 is written here
+        odd = Record(KIND, A, NOW, "n9", "zoe", body)
+        assert change_of(odd).act == Reserve(A, 5.0, 1.0, NOW, NOW + SECOND)
+        assert refusals(await ingress.keeper.take_records([odd])) == [Refusal.UNREADABLE]
+        assert disk.kept == [] and len(ingress.book) == 0
+        assert refusals(await ingress.keeper.take_records([record_of(change_of(odd))])) == [None]
+
+    run(main)
+
+
 def test_two_records_of_one_identity_end_alike_everywhere() -> None:
     async def main() -> None:
         one, two = record(NOW, A, "large"), record(NOW, A, "small")
