--- a/tests/test_plan_records.py
+++ b/tests/test_plan_records.py
@@ -788,6 +788,32 @@
     assert format_of(broken) == 1
 
 
+@given(histories())
+def test_a_store_that_is_put_back_leaf_by_leaf_is_the_one_that_was_added_to(history: list[Change]) -> None:
+    added, loaded = RecordStore(), RecordStore()
+    for each in history:
+        added.add(record_of(each))
+    for number in range(LEAVES):
+        loaded.put_back(number, added.leaf(number))
+    assert (loaded.leaves, loaded.digests) == (added.leaves, added.digests)
+    assert (len(loaded), loaded.size, loaded.newest) == (len(added), added.size, added.newest)
+
+
+def test_a_leaf_is_put_back_in_order_once_and_within_the_bounds() -> None:
+    records, number = [record(1), record(2), record(3)], leaf_of(KIND, A)
+    store = RecordStore(Limits(records=3))
+    for wrong in (records[::-1], [records[0], records[0]]):
+        with pytest.raises(ValueError, match="order"):
+            store.put_back(number, wrong)
+    with pytest.raises(RecordRefused):
+        store.put_back(number, [*records, record(4)])
+    assert len(store) == 0
+    store.put_back(number, records)
+    with pytest.raises(ValueError, match=f"not of leaf {number}"):
+        store.put_back(number, records)
+    assert store.leaf(number) == records
+
+
 def test_records_in_a_leaf_that_is_not_theirs_are_told(tmp_path: Path) -> None:
     database = Database(tmp_path / "n0", "n0", "normal")
     DurableRecords(database).save([record(1), record(2)])
