--- a/gorsefork/configuration/messages.py
+++ b/gorsefork/configuration/messages.py
@@ -19,7 +19,7 @@
 MOST_MESSAGE_BYTES = 256 << 10  # one body, of a request or an answer
 MOST_MESSAGES = 512
 MOST_BATCH = 512  # records of one message
-MOST_RECENT = 64  # marks that a summary names
+MOST_RECENT = 256  # marks that a summary names
 MOST_OFFERED = 1_024
 MOST_PIECES = 4_096
 NAME_BYTES = 16  # of a piece, a manifest
--- a/gorsefork/configuration/replication.py
+++ b/gorsefork/configuration/replication.py
@@ -36,7 +36,7 @@
 from gorsefork.configuration.peer_set import Peer, PeerSet
 from gorsefork.configuration.records import Record, RecordRefused
 from gorsefork.configuration.snapshot import Snapshot
-from gorsefork.configuration.snapshot_download import DownloadState, SnapshotDownload
+from gorsefork.configuration.snapshot_download import DownloadState, Drop, SnapshotDownload
 from gorsefork.configuration.store import RecordStore
 
 SECOND = 1_000_000
@@ -46,8 +46,10 @@
 MOST_FRESH = 4_096  # records that wait to be pushed; beyond it comparison alone carries them
 MOST_LEARNED_PUSHED = 256  # of one comparison: whoever learns more is catching up and has no news
 PUSH_ATTEMPTS = 3  # each to another peer
+SAME_PEER_ATTEMPTS = 3  # of a delivery, and of each later step of a comparison
 DIRECT_BYTES = 2_048  # of a push that goes without an offer
 SNAPSHOT_FROM = 2_000  # records that a peer has more, for a snapshot instead of ranges
+RANGES_FOR = 60 * SECOND  # after a snapshot was given up
 RECORD_OVERHEAD = 64  # bytes beside body and key, about
 
 
@@ -88,6 +90,7 @@
     messages: list[AnyMessage]
     records: list[Record] = field(default_factory=list)
     tried: frozenset[str] = frozenset()
+    attempts: int = 1  # with this peer
 
 
 class Fresh(NamedTuple):
@@ -153,6 +156,9 @@
         self.comparison: Comparison | None = None
         self.compare_at = 0
         self.download: SnapshotDownload | None = None
+        self.pieces: dict[bytes, bytes] = {}  # of a snapshot that is not whole yet, by name
+        self.ranges_until = 0  # no snapshot is asked for after one was given up
+        self.drops: Counter[Drop] = Counter()  # sources of snapshots, by what was wrong with them
         self.now = 0
 
     # What the owner calls
@@ -227,13 +233,14 @@
             case Purpose.PUSH:
                 self.push_elsewhere(job)
             case Purpose.COMPARISON:
-                self.comparison = None
-                self.compare_at = now + self.jittered(self.tempo.compare_again)
+                self.fail_comparison(job)
             case Purpose.SNAPSHOT if self.download is not None:
                 self.download.failed(peer, now)
                 self.end_download_if_over()
-            case _:
+            case _ if not self.repeat(job):
                 self.figures.dropped += len(job.records)
+            case _:
+                pass
 
     # Requests
 
@@ -259,6 +266,14 @@
             self.make_room()
         self.waiting.append(job)
 
+    def repeat(self, job: Job) -> bool:
+        """Ask the same peer for the same once more, unless that was done often enough."""
+        if job.attempts >= SAME_PEER_ATTEMPTS or job.purpose == Purpose.SNAPSHOT:
+            return False
+        job.attempts += 1
+        self.enqueue(job)
+        return True
+
     def make_room(self) -> None:
         """Drop the push that waits longest: comparison carries what was in it."""
         for place, job in enumerate(self.waiting):
@@ -326,7 +341,8 @@
     # Comparison
 
     def is_far_behind(self, theirs: Summary) -> bool:
-        return theirs.count - len(self.store) >= SNAPSHOT_FROM
+        behind = theirs.count - len(self.store) >= SNAPSHOT_FROM
+        return behind and self.now >= self.ranges_until
 
     def begin_comparison(self) -> None:
         if self.comparison is not None or self.download is not None or self.now < self.compare_at:
@@ -395,6 +411,12 @@
         else:
             self.end_comparison(self.tempo.compare_every)
 
+    def fail_comparison(self, job: Job) -> None:
+        """A peer that does not answer at all is left; with one that did, what was begun is gone on with."""
+        begun = self.comparison is not None and self.comparison.steps > 0
+        if not (begun and self.repeat(job)):
+            self.end_comparison(self.tempo.compare_again)
+
     def end_comparison(self, pause: int) -> None:
         self.comparison = None
         self.compare_at = self.now + self.jittered(pause)
@@ -403,7 +425,7 @@
 
     def begin_download(self, source: str) -> None:
         self.comparison = None
-        self.download = SnapshotDownload(source, self.peer_set, self.store.limits)
+        self.download = SnapshotDownload(source, self.peer_set, self.store.limits, self.pieces)
 
     def continue_download(self) -> None:
         if self.download is None:
@@ -418,10 +440,13 @@
         if download is None or download.state == DownloadState.RUNNING:
             return
         self.download = None
+        self.drops.update(download.dropped.values())
         self.compare_at = self.now + self.jittered(self.tempo.compare_again)
         if download.snapshot is None:
             self.figures.snapshots_given_up += 1
+            self.ranges_until = self.now + RANGES_FOR
             return
+        self.pieces = {}
         self.figures.snapshots += 1
         if download.snapshot.manifest.horizon > self.store.horizon:
             self.forget(download.snapshot.manifest.horizon)
--- a/gorsefork/configuration/snapshot_download.py
+++ b/gorsefork/configuration/snapshot_download.py
@@ -38,8 +38,7 @@
 MOST_IN_FLIGHT = 4  # pieces asked for at a time
 MOST_SOURCES = 6  # in use at a time
 ASK_EVERY = 25 * MILLISECOND  # a piece: some 2 MB a second at the most
-SLOW_AFTER = 3 * SECOND  # a piece that has not come by then is asked for elsewhere
-MOST_SLOW = 2  # of one source, until it is dropped
+SLOW_AFTER = 3 * SECOND  # a piece that has not come by then is asked for elsewhere, and its source dropped
 MOST_LACKED = 8  # pieces that a source has not, or sources that have not a piece, until they are given up
 STALLED_AFTER = 15 * SECOND  # without a piece, until another manifest is asked for
 MOST_ATTEMPTS = 5  # manifests that came to nothing, until comparison by ranges has to do
@@ -52,7 +51,7 @@
 
     DAMAGED = "a piece was not what its name says"
     LIED = "its manifest is not true of its pieces, or beyond what may be held"
-    SLOW = "it was slow again"
+    SLOW = "it was slow"
     FAILED = "it could not be asked"
     LACKING = "it lacked too many pieces"
 
@@ -99,7 +98,6 @@
         self.checked: dict[bytes, Checked] = {}
         self.asked: dict[str, Asked] = {}
         self.resting: dict[str, int] = {}  # busy sources, and until when
-        self.slow: Counter[str] = Counter()
         self.lacking: Counter[str] = Counter()
         self.lacked_by: dict[bytes, set[str]] = {}
         self.dropped: dict[str, Drop] = {}
@@ -324,9 +322,7 @@
                 continue
             self.ask_again(asked)
             asked.slow = True
-            self.slow[peer] += 1
-            if self.slow[peer] >= MOST_SLOW:
-                self.drop(peer, Drop.SLOW, now)
+            self.drop(peer, Drop.SLOW, now)
 
     def look_for_stall(self, now: int) -> None:
         if self.progress_at is not None and now - self.progress_at >= STALLED_AFTER:
--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -1,8 +1,8 @@
-"""Replicators in virtual time: a network with zones, delay, loss, cuts, kills and restarts, one seed one history.
+"""Replicators in virtual time: a network with zones, delay, loss, cuts, kills and restarts.
 
-A request is lost with ``loss`` on its way there and again on its way back; its sender learns of it after
-``TIMEOUT``, as from a transport that waits no longer. Bodies are really encoded and decoded, and counted with
-the bytes that HTTP adds.
+One seed gives one history. A request is lost with ``loss`` on its way there and again on its way back; its
+sender learns of it after ``TIMEOUT``, as from a transport that waits no longer. Bodies are really encoded and
+decoded, and counted with the bytes that HTTP adds.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from gorsefork.configuration.messages import AnyMessage, decode, encode
+from gorsefork.configuration.messages import AnyMessage, Piece, decode, encode
 from gorsefork.configuration.records import Record, RecordRefused, Refusal
 from gorsefork.configuration.replication import Peer, Replicator, Request, Tempo
 from gorsefork.configuration.store import Limits, RecordStore
@@ -49,7 +49,7 @@
     told: list[tuple[Record, Refusal]] = field(default_factory=list)
     refused: Counter[Refusal] = field(default_factory=Counter)  # judged, not told
     tamper: Tamper | None = None  # of its answers
-    delay: int = 0  # of its answers, on top
+    piece_delay: int = 0  # of answers with a piece of a snapshot, on top
     sent: int = 0
     bytes: int = 0  # sent and received
 
@@ -243,6 +243,7 @@
         self, sender: Member, life: int, hearer: Member, answer: list[AnyMessage], fail: Callable[[], None]
     ) -> None:
         body = encode(answer)
+        slowness = hearer.piece_delay if any(isinstance(each, Piece) for each in answer) else 0
         self.count(hearer, body, answer)
 
         def arrive() -> None:
@@ -254,7 +255,7 @@
         if self.lost(hearer, sender):
             self.at(self.now + TIMEOUT, fail)
         else:
-            self.at(self.now + self.delay(hearer, sender) + hearer.delay, arrive)
+            self.at(self.now + self.delay(hearer, sender) + slowness, arrive)
 
     def count(self, sender: Member, body: bytes, messages: list[AnyMessage]) -> None:
         sender.sent += 1
