--- a/gorsefork/configuration/intake.py
+++ b/gorsefork/configuration/intake.py
@@ -148,7 +148,8 @@
         return wanted
 
     def may_ask(self, place: Place, now: int) -> bool:
-        if place.mark in self.recent:  # may have been discarded since; a later comparison finds that
+        recent = self.recent.get(place.mark)
+        if recent is not None and now - recent.since < RECENT_FOR:
             return False
         return self.asked.get(place.mark, 0) <= now and not self.withheld.holds(place.mark, now)
 
--- a/gorsefork/configuration/replication.py
+++ b/gorsefork/configuration/replication.py
@@ -237,7 +237,7 @@
             case Purpose.SNAPSHOT if self.download is not None:
                 self.download.failed(peer, now)
                 self.end_download_if_over()
-            case _ if not self.repeat(job):
+            case Purpose.DELIVERY if not self.repeat(job):
                 self.figures.dropped += len(job.records)
             case _:
                 pass
--- a/gorsefork/configuration/snapshot_download.py
+++ b/gorsefork/configuration/snapshot_download.py
@@ -39,6 +39,7 @@
 MOST_SOURCES = 6  # in use at a time
 ASK_EVERY = 25 * MILLISECOND  # a piece: some 2 MB a second at the most
 SLOW_AFTER = 3 * SECOND  # a piece that has not come by then is asked for elsewhere, and its source dropped
+MOST_FAILURES = 3  # of one source one after another, until it is dropped
 MOST_LACKED = 8  # pieces that a source has not, or sources that have not a piece, until they are given up
 STALLED_AFTER = 15 * SECOND  # without a piece, until another manifest is asked for
 MOST_ATTEMPTS = 5  # manifests that came to nothing, until comparison by ranges has to do
@@ -98,6 +99,7 @@
         self.checked: dict[bytes, Checked] = {}
         self.asked: dict[str, Asked] = {}
         self.resting: dict[str, int] = {}  # busy sources, and until when
+        self.failures: Counter[str] = Counter()  # one after another
         self.lacking: Counter[str] = Counter()
         self.lacked_by: dict[bytes, set[str]] = {}
         self.dropped: dict[str, Drop] = {}
@@ -199,11 +201,12 @@
         asked = self.asked.pop(peer, None)
         if asked is None or self.state != DownloadState.RUNNING:
             return
+        del self.failures[peer]
         match messages[0] if messages else None:
             case Manifest() as manifest if asked.name is None:
                 self.take_manifest(peer, manifest, now)
-            case Piece(_, content) if asked.name is not None:
-                self.take_piece(peer, asked.name, content, now)
+            case Piece(name, content) if name == asked.name:
+                self.take_piece(peer, name, content, now)
             case NotNow(wait):
                 self.resting[peer] = now + wait
                 self.ask_again(asked)
@@ -214,10 +217,14 @@
                 self.drop(peer, Drop.LACKING, now)
 
     def failed(self, peer: str, now: int) -> None:
-        """A source that stops half-way is left alone; the peer set says for how long."""
+        """A source that stops half-way is left alone, for as long as the peer set says; dropped when it fails
+        again."""
         asked = self.asked.pop(peer, None)
-        if asked is not None:
-            self.ask_again(asked)
+        if asked is None:
+            return
+        self.ask_again(asked)
+        self.failures[peer] += 1
+        if self.failures[peer] >= MOST_FAILURES:
             self.drop(peer, Drop.FAILED, now)
 
     def ask_again(self, asked: Asked) -> None:
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -6,6 +6,8 @@
 import unittest
 
 from configuration_world import MILLISECOND, SECOND, UNIX, World, halves, old_records
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from gorsefork.configuration.in_force import digest_in_force, digests, record_in_force
 from gorsefork.configuration.intake import place_of
@@ -15,6 +17,15 @@
 from gorsefork.configuration.store import Limits
 from gorsefork.configuration.withheld import MOST_WITHHELD, WithheldRecords
 
+any_record = st.builds(
+    Record,
+    kind=st.just("plan"),
+    key=st.sampled_from([f"k{n}" for n in range(8)]),
+    stamp=st.integers(1, 3),
+    origin=st.sampled_from(("n0", "n1")),
+    author=st.just("operator"),
+    body=st.sampled_from((b"one", b"other")),
+)
 NO_COMPARISON = Tempo(compare_every=10_000 * SECOND, compare_again=10_000 * SECOND)
 WITHIN = 7.0  # s
 
@@ -314,6 +325,25 @@
         self.assertFalse(digest_in_force(expected, {}, digest).everywhere)
 
 
+class AnyPair(unittest.TestCase):
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(any_record, st.integers(1, 3)), max_size=25))
+    def test_two_stores_end_as_their_union_and_contradictions_alike(
+        self, placed: list[tuple[Record, int]]
+    ) -> None:
+        world = World(2, 22)
+        expected: dict[tuple[str, str, int, str], Record] = {}
+        for record, where in placed:
+            held = expected.setdefault(record.identity, record)
+            expected[record.identity] = max(held, record, key=Record.mark)
+            for name in [f"n{n}" for n in range(2) if where & 1 << n]:
+                world.members[name].store.add_all([record])
+        world.start()
+        world.run_until(world.alike, 10)
+        records = {each for n in range(4096) for each in world.members["n1"].store.leaf(n)}
+        self.assertEqual(records, set(expected.values()))
+
+
 class AnyHistory(unittest.TestCase):
     def test_whatever_happens_all_end_alike_with_all_that_was_accepted(self) -> None:
         for seed in range(4):
