--- a/gorsefork/configuration/peer_set.py
+++ b/gorsefork/configuration/peer_set.py
@@ -25,6 +25,7 @@
 
     failures: int
     until: int
+    penalty: bool = False  # for what it said
 
 
 class PeerSet:
@@ -50,19 +51,21 @@
         }
 
     def failed(self, name: str, now: int) -> None:
-        if name not in self.by_name:
+        if name not in self.by_name or not self.available(name, now):
             return
         failures = self.pauses[name].failures + 1 if name in self.pauses else 1
         pause = min(FIRST_PAUSE << min(failures - 1, MOST_DOUBLINGS), LONGEST_PAUSE)
         self.pauses[name] = Pause(failures, now + round(pause * self.rng.uniform(0.5, 1.0)))
 
     def penalize(self, name: str, now: int) -> None:
-        """A peer that said what is not so is left alone for as long as any."""
+        """A peer that said what is not so is left alone for as long as any, also when it asks itself."""
         if name in self.by_name:
-            self.pauses[name] = Pause(MOST_DOUBLINGS + 1, now + LONGEST_PAUSE)
+            self.pauses[name] = Pause(MOST_DOUBLINGS + 1, now + LONGEST_PAUSE, penalty=True)
 
     def heard(self, name: str) -> None:
-        self.pauses.pop(name, None)
+        """A peer answered, or asked: it can be reached."""
+        if name in self.pauses and not self.pauses[name].penalty:
+            del self.pauses[name]
 
     def available(self, name: str, now: int) -> bool:
         return name in self.by_name and (name not in self.pauses or self.pauses[name].until <= now)
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -12,6 +12,7 @@
 from gorsefork.configuration.in_force import digest_in_force, digests, record_in_force
 from gorsefork.configuration.intake import place_of
 from gorsefork.configuration.messages import Statement, StatementWanted
+from gorsefork.configuration.peer_set import Peer, PeerSet
 from gorsefork.configuration.records import Record, RecordRefused, Refusal
 from gorsefork.configuration.replication import MOST_FRESH, Tempo
 from gorsefork.configuration.store import Limits
@@ -276,6 +277,16 @@
             replicator.requests(world.now + n * 60 * MILLISECOND + 51 * MILLISECOND)
         self.assertEqual(len(replicator.outstanding), replicator.tempo.in_flight)
 
+    def test_a_penalty_outlasts_that_the_peer_is_heard(self) -> None:
+        peers = PeerSet("z0", random.Random(1))
+        peers.replace([Peer("n1", "", "z0"), Peer("n2", "", "z0")])
+        peers.penalize("n1", 0)
+        peers.failed("n2", 0)
+        for name in ("n1", "n2"):
+            peers.heard(name)
+        self.assertEqual(peers.draw(2, 0, 1), ["n2"])
+        self.assertEqual(sorted(peers.draw(2, 0, 31 * SECOND)), ["n1", "n2"])
+
     def test_an_unreachable_peer_is_asked_at_a_falling_rate(self) -> None:
         world = settled(2, 20)
         world.cut = lambda sender, hearer: True
