Begin a backend's actor with its first use, and apply lists of thousands a piece at a time

Need: before 5,300 backends each listed one had a task and a mailbox from the start (some 10 KB), and a list was read, applied and told in one step; `Registry.see` went through all remembered ids for each entry once there were more than 4,096 of them. Ruled out: one step for a list of any length at a lower cost an entry (5,300 entries are some 50 ms at best); telling whole lists as such in pieces (what a piece does not name would be gone). Change: an actor begins with the first delegation and ends after a keep-alive time with nothing to do. News of up to 256 entries are applied and told as ever; larger ones 64 entries a turn of the loop, as changes, entries that did not change untold, and the version holds once all of it is applied. Entries are read 64 a turn. Ids that left the list are remembered apart from those that are on it. Two tests follow the code: the actors of the full fleet are counted once each backend was used (none before), and the hook of the crossing at SIGHUP names the function that reads now.

--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -23,6 +23,7 @@
 
 NOTE = Struct("<c8sBfI")
 MARK = attrgetter("mark")
+NEVER = -math.inf  # one object for all servers
 IDLE_SPANS, IDLE_ACCOUNT = 2.5, 5.0  # an unused account is kept for its count's life, and s more
 
 
@@ -53,10 +54,10 @@
         self.entry = entry
         self.open: dict[tuple[str, int], tuple[float, float]] = {}  # attempt -> sent at, latency to expect
         self.pace, self.errors = 1.0, 0.0  # latency over the class mean; share of failures
-        self.sampled_at = self.answered_at = self.tried_at = self.filled_at = -math.inf
-        self.cold_from, self.credit, self.silent = -math.inf, 0.0, False
-        self.barred_until = -math.inf  # no connection was had: passed by till then
-        self.overtook = -math.inf  # when the latest attempt that has its answer was sent
+        self.sampled_at = self.answered_at = self.tried_at = self.filled_at = NEVER
+        self.cold_from, self.credit, self.silent = NEVER, 0.0, False
+        self.barred_until = NEVER  # no connection was had: passed by till then
+        self.overtook = NEVER  # when the latest attempt that has its answer was sent
         self.unmet = 0  # connections in a row that were not had
         self.mark, self.on_ring = crc32(entry.server.encode()), False  # where on the ring; whether
         self.full: dict[tuple[int, int], float] = {}  # class and plan turned away -> until when
--- a/gorsefork/memory/registry.py
+++ b/gorsefork/memory/registry.py
@@ -1,12 +1,15 @@
 """The registry: discovery's list of backends, its one owner, and whether a backend may be sent anything.
 
 An operator's ban stands above discovery's word: to all others a backend that is out by hand drains.
+
+News of more than ``AT_ONCE`` entries are applied a piece at a time, and calls are served in between. An entry
+holds by itself, so that a table that has a part of the news is no worse than one that has none of them.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 import trio
@@ -15,7 +18,8 @@
 from gorsefork.memory.clock import monotonic_us
 from gorsefork.memory.mailbox import Mailbox
 
-MOST_SEEN = 4096  # ids once listed that are remembered beyond the list; the longest gone are forgotten
+MOST_SEEN = 4096  # bound on the ids once listed that are remembered; the longest gone are forgotten
+AT_ONCE, PIECE = 256, 64  # entries of news that are applied in one step; of a piece of larger ones
 MOST_DOWN = 512  # bans at once
 
 
@@ -54,7 +58,7 @@
         self.mailbox: Mailbox[News] = Mailbox(64)
         self.hosts: dict[str, Host] = {}
         self.tell, self.changed, self.now = tell, changed, now
-        self.seen: OrderedDict[str, None] = OrderedDict()  # ids that were ever listed, the latest last
+        self.left: OrderedDict[str, None] = OrderedDict()  # ids that were listed once, the latest gone last
         self.down: dict[str, int] = {}  # out by hand, since when (us)
         self.back: dict[str, int] = {}  # back by hand: cold from then (us), whatever discovery knows of it
         self.version = 0
@@ -63,32 +67,73 @@
         while True:
             await self.mailbox.wait(float("inf"))
             for news in self.mailbox.drain():
-                self.apply(news)
-            await trio.lowlevel.checkpoint()
+                for _ in self.steps(news):
+                    await trio.lowlevel.checkpoint()
 
     def apply(self, news: News) -> None:
-        if news.kind in ("full", "cached"):
-            listed = {host.name for host in news.hosts}
-            for name in [n for n in self.hosts if n not in listed]:
-                self.remove(name)
+        """All of it, in one step."""
+        for _ in self.steps(news):
+            pass
+
+    def steps(self, news: News) -> Iterator[None]:
+        """Apply news, a step for each item. A list of which not all is applied yet keeps the old version."""
+        listed = len(self.hosts) if news.kind in ("full", "cached") else 0
+        if max(len(news.hosts), listed) <= AT_ONCE:
+            self.apply_whole(news)
+            yield
+            return
+        hosts = self.left_out(news) + list(news.hosts)
+        for start in range(0, len(hosts), PIECE):
+            piece = hosts[start : start + PIECE]
+            self.apply_entries([host for host in piece if self.hosts.get(host.name) != host])
+            yield
+        self.version = news.version
+
+    def apply_whole(self, news: News) -> None:
+        for host in self.left_out(news):
+            self.remove(host.name)
         for host in news.hosts:
-            if host.state == "gone":
-                self.remove(host.name)
-            else:
-                self.hosts[host.name] = host
-                self.see(host.name)
-                self.changed(self.as_held(host))
+            self.put(host)
         self.version = news.version
         self.tell(replace(news, hosts=tuple(map(self.as_held, news.hosts))))
 
+    def apply_entries(self, hosts: list[Host]) -> None:
+        """Some of the news, told as changes."""
+        for host in hosts:
+            self.put(host)
+        if hosts:
+            self.tell(News("delta", self.version, tuple(map(self.as_held, hosts))))
+
+    def left_out(self, news: News) -> list[Host]:
+        """What a complete list does not name, as gone."""
+        if news.kind not in ("full", "cached"):
+            return []
+        listed = {host.name for host in news.hosts}
+        return [Host(name, old.dial, "gone") for name, old in self.hosts.items() if name not in listed]
+
+    def put(self, host: Host) -> None:
+        if host.state == "gone":
+            self.remove(host.name)
+        else:
+            self.hosts[host.name] = host
+            self.left.pop(host.name, None)
+            self.changed(self.as_held(host))
+
+    @property
+    def seen(self) -> list[str]:
+        """The ids that were ever listed, within the bound; those listed now last."""
+        return [*self.left, *self.hosts]
+
     def see(self, name: str) -> None:
-        self.seen[name] = None
-        self.seen.move_to_end(name)
-        for old in list(self.seen) if len(self.seen) > MOST_SEEN else ():
-            if old not in self.hosts and old not in self.down:
-                del self.seen[old]
-            if len(self.seen) <= MOST_SEEN:
-                return
+        """An id was listed once, here or where this process comes from."""
+        if name not in self.hosts:
+            self.left[name] = None
+            self.left.move_to_end(name)
+        while len(self.left) >= MOST_SEEN:  # bans, of which there are fewer, are remembered longest
+            del self.left[next(old for old in self.left if old not in self.down)]
+
+    def known(self, name: str) -> bool:
+        return name in self.hosts or name in self.left or name in self.down
 
     def as_held(self, host: Host) -> Host:
         """What an entry is to this ingress: discovery's word under the operators'."""
@@ -96,11 +141,12 @@
             return host
         if host.name in self.down:
             return replace(host, state="draining")
-        return replace(host, started=max(host.started, self.back.get(host.name, 0)))
+        since = self.back.get(host.name, 0)
+        return replace(host, started=since) if since > host.started else host
 
     def set_down(self, name: str) -> str:
         """Out until ``set_up``, listed or not. Why not, or nothing; said again it changes nothing."""
-        if name not in self.seen:
+        if not self.known(name):
             return "no such id was ever listed"
         if name not in self.down and len(self.down) >= MOST_DOWN:
             return "too many are out already"
@@ -113,7 +159,7 @@
     def set_up(self, name: str) -> str:
         """The end of a ban, however often it was asked for. Guards against a backend that is pushed over: it
         was restarted meanwhile, and discovery may not have told of that yet."""
-        if name not in self.seen:
+        if not self.known(name):
             return "no such id was ever listed"
         since = self.down.pop(name, None)
         host = self.hosts.get(name)
@@ -131,6 +177,7 @@
     def remove(self, name: str) -> None:
         self.back.pop(name, None)
         if (old := self.hosts.pop(name, None)) is not None:
+            self.see(name)
             self.changed(Host(name, old.dial, "gone"))
 
     def may_send(self, name: str) -> bool:
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -1,4 +1,4 @@
-"""Delegations on the wire: an actor for each backend, with its pool of idle connections."""
+"""Delegations on the wire: an actor for each backend in use, with its pool of idle connections."""
 
 from __future__ import annotations
 
@@ -188,7 +188,11 @@
 
 
 class Backend:
-    """Actor: hands each delegation a connection that is known to be good, and keeps those left over."""
+    """Actor: hands each delegation a connection that is known to be good, and keeps those left over.
+
+    It begins with the first delegation and ends once it has had nothing to do for as long as a connection may
+    stand idle: a backend that is not used costs no task.
+    """
 
     def __init__(self, host: Host, pool: BackendPool) -> None:
         self.host, self.pool = host, pool
@@ -212,7 +216,10 @@
                 # A connection that falls idle while the actor waits retires no sooner than this either.
                 since = self.idle[0].idle_since if self.idle else clock.now
                 await self.mailbox.wait(clock.trio_deadline(since + self.pool.idle_for))
-                for order in self.mailbox.drain():
+                orders = self.mailbox.drain()
+                if not (orders or self.idle or nursery.child_tasks):
+                    self.pool.forget(self)
+                for order in orders:
                     if order is None:
                         self.close_idle()
                     else:
@@ -302,7 +309,7 @@
 
 
 class BackendPool:
-    """The actors of all backends, and the bound on what they hold open together."""
+    """The actors of the backends in use, and the bound on what they hold open together."""
 
     def __init__(
         self,
@@ -327,22 +334,31 @@
             await trio.sleep_forever()
 
     def changed(self, host: Host) -> None:
-        """The registry's word: a new backend, one that moved or started anew, or one that is gone."""
-        backend = self.backends.get(host.name)
+        """The registry's word: a backend that moved or started anew, or one that is gone."""
+        if (backend := self.backends.get(host.name)) is None:
+            return
         if host.state == "gone":
-            if backend is not None:
-                del self.backends[host.name]
-                backend.retired = True
-                backend.mailbox.put(None)
-        elif backend is None:
-            backend = self.backends[host.name] = Backend(host, self)
-            if self.nursery is not None:
-                self.nursery.start_soon(backend.run)
+            self.forget(backend)
+            backend.mailbox.put(None)
         else:
             backend.renew(host)
 
+    def forget(self, backend: Backend) -> None:
+        """Its actor ends once it has carried what it has."""
+        del self.backends[backend.host.name]
+        backend.retired = True
+
+    def actor(self, name: str) -> Backend | None:
+        """The actor of a backend that is listed; it begins here if there is none."""
+        backend, host = self.backends.get(name), self.registry.hosts.get(name)
+        if backend is None and host is not None:
+            backend = self.backends[name] = Backend(self.registry.as_held(host), self)
+            if self.nursery is not None:
+                self.nursery.start_soon(backend.run)
+        return backend
+
     def delegate(self, delegation: Delegation) -> None:
-        backend = self.backends.get(delegation.host)
+        backend = self.actor(delegation.host)
         if backend is None or not backend.mailbox.put(delegation):
             self.ended(delegation, Ending("moot" if backend is None else "connect_failed"))
 
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -5,7 +5,9 @@
 import json
 import math
 import random
-from collections.abc import Mapping
+import sys
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from typing import Any
 
 import h11
@@ -30,22 +32,44 @@
 # It is asked at once for what is new, on each new connection, and again as soon as it may be back.
 AGENT_WAIT_MS, AGENT_WITHIN, AGENT_PAUSE = 1500, 0.2, 0.033
 MOST_BYTES = 4 << 20
+AT_ONCE = 64  # entries that are read before calls have their turn
 
 
 class BadList(Exception):
     """An answer of discovery that cannot be read."""
 
 
-def read_list(raw: Any, clock: Clock, cached: bool = False) -> News:
-    """A list in discovery's form; Unix times become times of this machine's clock here."""
+@contextmanager
+def readable() -> Iterator[None]:
+    """What can't be read ends in ``BadList``."""
     try:
-        hosts = tuple(read_host(entry, clock) for entry in raw["hosts"])
-        kind = "cached" if cached else "full" if raw["whole"] else "delta"
-        return News(kind, int(raw["seq"]), hosts)  # type: ignore[arg-type]
+        yield
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise BadList(f"discovery's list: {type(error).__name__}: {error}") from None
 
 
+def read_list(raw: Any, clock: Clock, cached: bool = False) -> News:
+    """A list in discovery's form; Unix times become times of this machine's clock here."""
+    with readable():
+        return as_news(raw, [read_host(entry, clock) for entry in raw["hosts"]], cached)
+
+
+async def read_in_steps(raw: Any, clock: Clock) -> News:
+    """The same, ``AT_ONCE`` entries at a time: calls are not held up by a list of thousands."""
+    with readable():
+        entries, hosts = raw["hosts"], list[Host]()
+        for start in range(0, len(entries), AT_ONCE):
+            hosts += [read_host(entry, clock) for entry in entries[start : start + AT_ONCE]]
+            if start + AT_ONCE < len(entries):
+                await trio.lowlevel.checkpoint()
+        return as_news(raw, hosts, cached=False)
+
+
+def as_news(raw: Any, hosts: Sequence[Host], cached: bool) -> News:
+    kind = "cached" if cached else "full" if raw["whole"] else "delta"
+    return News(kind, int(raw["seq"]), tuple(hosts))  # type: ignore[arg-type]
+
+
 def read_host(entry: Mapping[str, Any], clock: Clock) -> Host:
     born = int(entry.get("born_ms", 0))
     address(entry["dial"])  # one that cannot be dialled is found here, not at the first send
@@ -54,8 +78,8 @@
         str(entry["dial"]),
         STATES[entry["health"]],
         clock.from_unix_ms(born) if born else 0,
-        str(entry.get("site", "")),
-        str(entry.get("class", "")),
+        sys.intern(str(entry.get("site", ""))),  # one text for all entries that have it
+        sys.intern(str(entry.get("class", ""))),
         int(entry.get("block", 0)),
         float(entry.get("share", 1.0)),
     )
@@ -134,7 +158,7 @@
             except BaseException:
                 self.whole_next |= whole
                 raise
-            news = read_list(raw, self.clock)
+            news = await read_in_steps(raw, self.clock)
             if not whole and news.version < self.version:
                 self.whole_next = True  # another discovery, or one that has begun anew
             self.version = news.version
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -634,7 +634,7 @@
         async def then(world: World) -> None:
             watch = world.ingresses[0].watch
             await world.play("disco expect GET /v1/servers?index=1&wait=")
-            with before(discovery, "read_list", lambda: watch.move(world.servers["disco2"].dial)):
+            with before(discovery, "read_in_steps", lambda: watch.move(world.servers["disco2"].dial)):
                 await world.play('disco send 200 | {"seq": 7, "whole": false, "hosts": []}')
                 await until(lambda: watch.version == 7)
             await world.play("""
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -186,7 +186,13 @@
             for age in range(8):
                 names = range(age * 250, age * 250 + 500)
                 hosts = tuple(Host(f"s{n}", f"127.0.0.1:{n + 1}", "ready") for n in names)
+                kept = len(fleet.backends.keys() & {host.name for host in hosts})
                 registry.apply(News("full", age, hosts))
+                assert (
+                    len(fleet.backends) == kept
+                )  # those that left are gone, and none is made before its use
+                for host in hosts:
+                    fleet.actor(host.name)
                 await trio.testing.wait_all_tasks_blocked()
                 assert fleet.nursery is not None
                 assert len(fleet.backends) == 500 == len(fleet.nursery.child_tasks) == len(registry.hosts)
