Leave time for calls between two pieces of a large list

Cause: the pieces of a change of 600 entries followed each other turn after turn, some 60 ms in which each turn of the loop was longer by a piece; a request takes about six turns, and with a change each 3 s these are more than one request in a hundred. Change: 3 ms between two pieces, both as they are read and as they are applied, where backends are known already; what drains or is gone comes first, and of two entries of one id in large news the last holds.

--- a/gorsefork/memory/registry.py
+++ b/gorsefork/memory/registry.py
@@ -20,6 +20,7 @@
 
 MOST_SEEN = 4096  # bound on the ids once listed that are remembered; the longest gone are forgotten
 AT_ONCE, PIECE = 256, 64  # entries of news that are applied in one step; of a piece of larger ones
+PIECE_PAUSE = 0.003  # s between two pieces: one after the other, they would hold up whatever came meanwhile
 MOST_DOWN = 512  # bans at once
 
 
@@ -67,8 +68,10 @@
         while True:
             await self.mailbox.wait(float("inf"))
             for news in self.mailbox.drain():
+                pause = PIECE_PAUSE if self.hosts else 0.0  # with none known there is nothing to serve
                 for _ in self.steps(news):
-                    await trio.lowlevel.checkpoint()
+                    await trio.sleep(pause)
+                await trio.lowlevel.checkpoint()
 
     def apply(self, news: News) -> None:
         """All of it, in one step."""
@@ -76,18 +79,20 @@
             pass
 
     def steps(self, news: News) -> Iterator[None]:
-        """Apply news, a step for each item. A list of which not all is applied yet keeps the old version."""
+        """Apply news; yields between its pieces, if it is large. What is not ready comes first then.
+
+        A list of which not all is applied yet keeps the old version.
+        """
         listed = len(self.hosts) if news.kind in ("full", "cached") else 0
         if max(len(news.hosts), listed) <= AT_ONCE:
             self.apply_whole(news)
-            yield
             return
-        hosts = self.left_out(news) + list(news.hosts)
-        yield
+        last = {host.name: host for host in (*self.left_out(news), *news.hosts)}
+        hosts = sorted(last.values(), key=lambda host: host.state == "ready")
         for start in range(0, len(hosts), PIECE):
+            yield
             piece = hosts[start : start + PIECE]
             self.apply_entries([host for host in piece if self.hosts.get(host.name) != host])
-            yield
         self.version = news.version
 
     def apply_whole(self, news: News) -> None:
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -15,7 +15,7 @@
 from gorsefork.decisions.interface import State
 from gorsefork.memory.backoff import Backoff
 from gorsefork.memory.clock import Clock
-from gorsefork.memory.registry import Host, News, Registry
+from gorsefork.memory.registry import AT_ONCE, PIECE, PIECE_PAUSE, Host, News, Registry
 from gorsefork.wire.json_steps import read_object
 from gorsefork.wire.stream import Stream, address, connect
 
@@ -32,7 +32,6 @@
 # It is asked at once for what is new, on each new connection, and again as soon as it may be back.
 AGENT_WAIT_MS, AGENT_WITHIN, AGENT_PAUSE = 1500, 0.2, 0.033
 MOST_BYTES = 4 << 20
-AT_ONCE = 64  # entries that are read before calls have their turn
 
 
 class BadList(Exception):
@@ -55,8 +54,8 @@
 
 
 async def parse_in_steps(body: bytearray) -> Any:
-    """An answer's JSON, ``AT_ONCE`` entries at a time: calls are not held up by a list of thousands."""
-    steps = read_object(body, AT_ONCE)
+    """An answer's JSON, ``PIECE`` entries at a time: calls are not held up by a list of thousands."""
+    steps = read_object(body, PIECE)
     while True:
         try:
             next(steps)
@@ -67,14 +66,15 @@
         await trio.lowlevel.checkpoint()
 
 
-async def read_in_steps(raw: Any, clock: Clock) -> News:
-    """As ``read_list``, in such steps."""
+async def read_in_steps(raw: Any, clock: Clock, pause: float = 0.0) -> News:
+    """As ``read_list``; more than ``AT_ONCE`` entries in such steps, with so many seconds between two."""
     with readable():
         entries, hosts = raw["hosts"], list[Host]()
-        for start in range(0, len(entries), AT_ONCE):
-            hosts += [read_host(entry, clock) for entry in entries[start : start + AT_ONCE]]
-            if start + AT_ONCE < len(entries):
-                await trio.lowlevel.checkpoint()
+        size = PIECE if len(entries) > AT_ONCE else AT_ONCE
+        for start in range(0, len(entries), size):
+            hosts += [read_host(entry, clock) for entry in entries[start : start + size]]
+            if start + size < len(entries):
+                await trio.sleep(pause)
         return as_news(raw, hosts, cached=False)
 
 
@@ -171,7 +171,7 @@
             except BaseException:
                 self.whole_next |= whole
                 raise
-            news = await read_in_steps(raw, self.clock)
+            news = await read_in_steps(raw, self.clock, PIECE_PAUSE if self.registry.hosts else 0.0)
             del raw  # a list of thousands is not kept for as long as the next watch waits
             if not whole and news.version < self.version:
                 self.whole_next = True  # another discovery, or one that has begun anew
