--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import math
 import random
-from collections.abc import Mapping
+import sys
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from typing import Any
 
 import h11
@@ -14,7 +15,8 @@
 from gorsefork.decisions.interface import State
 from gorsefork.memory.backoff import Backoff
 from gorsefork.memory.clock import Clock
-from gorsefork.memory.registry import Host, News, Registry
+from gorsefork.memory.registry import AT_ONCE, PIECE, PIECE_PAUSE, Host, News, Registry
+from gorsefork.wire.json_steps import read_object
 from gorsefork.wire.stream import Stream, address, connect
 
 STATES: Mapping[str, State] = {"active": "ready", "leaving": "draining", "left": "gone"}
@@ -36,16 +38,51 @@
     """An answer of discovery that cannot be read."""
 
 
-def read_list(raw: Any, clock: Clock, cached: bool = False) -> News:
-    """A list in discovery's form; Unix times become times of this machine's clock here."""
+@contextmanager
+def readable() -> Iterator[None]:
+    """What can't be read ends in ``BadList``."""
     try:
-        hosts = tuple(read_host(entry, clock) for entry in raw["hosts"])
-        kind = "cached" if cached else "full" if raw["whole"] else "delta"
-        return News(kind, int(raw["seq"]), hosts)  # type: ignore[arg-type]
+        yield
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise BadList(f"discovery's list: {type(error).__name__}: {error}") from None
 
 
+def read_list(raw: Any, clock: Clock, cached: bool = False) -> News:
+    """A list in discovery's form; Unix times become times of this machine's clock here."""
+    with readable():
+        return as_news(raw, [read_host(entry, clock) for entry in raw["hosts"]], cached)
+
+
+async def parse_in_steps(body: bytearray) -> Any:
+    """An answer's JSON, ``PIECE`` entries at a time: calls are not held up by a list of thousands."""
+    steps = read_object(body, PIECE)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+        except (ValueError, RecursionError):
+            raise BadList("discovery's list is not JSON") from None
+        await trio.lowlevel.checkpoint()
+
+
+async def read_in_steps(raw: Any, clock: Clock, pause: float = 0.0) -> News:
+    """As ``read_list``; more than ``AT_ONCE`` entries in such steps, with so many seconds between two."""
+    with readable():
+        entries, hosts = raw["hosts"], list[Host]()
+        size = PIECE if len(entries) > AT_ONCE else AT_ONCE
+        for start in range(0, len(entries), size):
+            hosts += [read_host(entry, clock) for entry in entries[start : start + size]]
+            if start + size < len(entries):
+                await trio.sleep(pause)
+        return as_news(raw, hosts, cached=False)
+
+
+def as_news(raw: Any, hosts: Sequence[Host], cached: bool) -> News:
+    kind = "cached" if cached else "full" if raw["whole"] else "delta"
+    return News(kind, int(raw["seq"]), tuple(hosts))  # type: ignore[arg-type]
+
+
 def read_host(entry: Mapping[str, Any], clock: Clock) -> Host:
     born = int(entry.get("born_ms", 0))
     address(entry["dial"])  # one that cannot be dialled is found here, not at the first send
@@ -54,8 +91,8 @@
         str(entry["dial"]),
         STATES[entry["health"]],
         clock.from_unix_ms(born) if born else 0,
-        str(entry.get("site", "")),
-        str(entry.get("class", "")),
+        sys.intern(str(entry.get("site", ""))),  # one text for all entries that have it
+        sys.intern(str(entry.get("class", ""))),
         int(entry.get("block", 0)),
         float(entry.get("share", 1.0)),
     )
@@ -134,7 +171,8 @@
             except BaseException:
                 self.whole_next |= whole
                 raise
-            news = read_list(raw, self.clock)
+            news = await read_in_steps(raw, self.clock, PIECE_PAUSE if self.registry.hosts else 0.0)
+            del raw  # a list of thousands is not kept for as long as the next watch waits
             if not whole and news.version < self.version:
                 self.whole_next = True  # another discovery, or one that has begun anew
             self.version = news.version
@@ -163,9 +201,6 @@
             elif isinstance(event, h11.EndOfMessage):
                 if status != 200:
                     raise BadList(f"discovery answered {status}")
-                try:
-                    return json.loads(body)
-                except (ValueError, RecursionError):
-                    raise BadList("discovery's list is not JSON") from None
+                return await parse_in_steps(body)
             elif not isinstance(event, h11.InformationalResponse):
                 raise BadList("discovery closed the connection")
