--- a/gorsefork/memory/deciding.py
+++ b/gorsefork/memory/deciding.py
@@ -10,9 +10,19 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import Gatekeeper
-from gorsefork.memory.call import Answer, Call, Denied, Failed, Long, Overload, Served
+from gorsefork.memory.call import (
+    NEVER_RAN,
+    Answer,
+    Call,
+    Delegation,
+    Denied,
+    Ending,
+    Failed,
+    Long,
+    Overload,
+    Served,
+)
 from gorsefork.memory.clock import SECOND, Clock
-from gorsefork.memory.delegation import NEVER_RAN, Delegation, Ending
 from gorsefork.memory.figures import Figures
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.ports import Backends, Counter, Discovery, Peers, Terms, Uses
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -9,9 +9,8 @@
 import h11
 import trio
 
-from gorsefork.memory.call import Long, Sink
+from gorsefork.memory.call import Delegation, Ending, Long, Sink
 from gorsefork.memory.clock import SECOND, Clock
-from gorsefork.memory.delegation import Delegation, Ending
 from gorsefork.memory.flow import MOST_HELD, Flow, Torn
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.registry import Host, Registry
