Split the plan calls from the control front, and let a call take a larger body

The control front held routing, checks of the request and all calls of the plan book. Now it checks and routes; the calls on the book are a module of their own, and what calls share stands in control_request.py. Bodies beyond 64 KiB are read whole only for calls that name a bound for them (none yet); others answer 413 as before.

For the replication's tests: [control] advertise says where peers reach the listener where that is not its own address, FleetLink.control_peers gives names and zones beside addresses, and the rig has a TCP relay for each path to a control listener, which a cut holds up. The log event control.begun says where the listener is before the ingress is ready.

--- a/gorsefork/cli/control.py
+++ b/gorsefork/cli/control.py
@@ -40,6 +40,7 @@
         body: object = None,
         key: str = "",
         dial: str = "",
+        within: float = WITHIN,
     ) -> Any:
         """The answer of one ingress, the first unless named. ``Failed`` says what went wrong, and where."""
         dial = dial or self.dials[0]
@@ -51,7 +52,7 @@
         async def once() -> Any:
             try:
                 return await client.ask(
-                    method, target, data, "application/json" if data else "", WITHIN, headers
+                    method, target, data, "application/json" if data else "", within, headers
                 )
             finally:
                 client.close()
--- a/gorsefork/cli/plans.py
+++ b/gorsefork/cli/plans.py
@@ -21,6 +21,7 @@
 )
 
 LEAD = "+2s"  # until a change takes effect, unless said otherwise: time for it to reach every ingress
+MOST_SHOWN = 8  # peers of one ingress, in a table
 CUSTOMER, TIME = Customer(), When()
 
 
@@ -295,7 +296,7 @@
 @plans.command()
 @reaches
 def status(dials: tuple[str, ...], key_file: str | None, as_json: bool) -> None:
-    """Which book each ingress has, and how lately it heard its fellows."""
+    """Which book each ingress has, and what it knows of its peers."""
     reach, answers = targets(dials, key_file), []
     for dial in reach.dials:
         answers.append({"control": dial, **reach.ask("GET", "/v1/status", dial=dial)})
@@ -309,11 +310,25 @@
                 row["book"]["changes"],
                 row["book"]["newest"] or "-",
                 "yes" if row["book"]["kept_on_disk"] else "no",
-                ", ".join(f"{f['fellow']} {f['state']}" for f in row["fellows"]) or "-",
+                peers_summary(row.get("peers", row["fellows"])),
             ]
             for row in answers
         ],
-        ["ingress", "control", "changes", "newest", "on disk", "fellows"],
+        ["ingress", "control", "changes", "newest", "on disk", "peers"],
     )
     if len({row["book"]["digest"] for row in answers}) > 1:
         raise Failed("the books differ")
+
+
+def peers_summary(peers: list[dict[str, Any]]) -> str:
+    """Each peer and its state; of many only how many there are, and some of those that are not current."""
+    if len(peers) > MOST_SHOWN:
+        others = [peer for peer in peers if peer["state"] != "current"]
+        current = f"{len(peers) - len(others)} of {len(peers)} current"
+        return "; ".join([current, *map(peer_state, others[:MOST_SHOWN])])
+    return ", ".join(map(peer_state, peers)) or "-"
+
+
+def peer_state(peer: dict[str, Any]) -> str:
+    """``fellow`` is the key by which ingresses of the previous version name a peer."""
+    return f"{peer.get('peer', peer['fellow'])} {peer['state']}"
--- a/gorsefork/life/fleet.py
+++ b/gorsefork/life/fleet.py
@@ -38,13 +38,14 @@
     seed: int,
     folder: str,
     control: str,
+    control_advertised: str,
     clock: Clock,
     log: Log,
     changed: Callable[[], None],
 ) -> FleetLink:
-    """``control``: where this ingress's control listener is, or nothing. ``BadOperatorFile`` where the name,
-    the key or the address can't be used; what the last life kept and can't be read is said and passed
-    over."""
+    """``control``: where this ingress's control listener is, or nothing; ``control_advertised``: where peers
+    reach it, or nothing for the advertised host of the fleet. ``BadOperatorFile`` where the name, the key or
+    the address can't be used; what the last life kept and can't be read is said and passed over."""
     if not 0 < len(name) <= MOST_NAME:
         raise BadOperatorFile(f"fleet: the ingress's name must have 1 to {MOST_NAME} characters")
     key = secret("fleet", given.key_file).encode()
@@ -74,7 +75,9 @@
     seeds = [packed(dial) for dial in dict.fromkeys((*given.seeds, *(d for d in kept.dials if dialable(d))))]
     host = address(given.advertise)[0] if given.ported() else given.advertise
     dial = given.advertise if given.ported() else reached(named(sock), host)
-    card = Card(packed(dial), packed(reached(control, host)) if control else b"", given.zone)
+    if control:
+        control = control_advertised or reached(control, host)
+    card = Card(packed(dial), packed(control) if control else b"", given.zone)
     core = Membership(
         name,
         max(clock.unix_us(), kept.life + 1),
--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -29,6 +29,7 @@
 from gorsefork.usage.store import Unkept, UseStore, VolatileStore
 from gorsefork.wire.acceptor import Acceptor
 from gorsefork.wire.fronts.control import ControlFront
+from gorsefork.wire.fronts.plan_calls import PlanCalls
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
 from gorsefork.wire.services.fellows import STALE_AFTER, Fellows
 
@@ -117,9 +118,9 @@
         if self.given.usage is not None:
             self.record_use(self.given.usage.most_waiting, settings)
         if self.given.control is not None:
-            front = ControlFront(
-                self.keeper, self.key, self.clock.unix_us, self.status, self.usage, self.export
-            )
+            front = ControlFront(self.key, self.status, self.usage, self.export)
+            self.plan_calls = PlanCalls(self.keeper, self.clock.unix_us)
+            front.routes.update(self.plan_calls.routes)
             self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
             front.start = self.acceptor.start
         if (fleet := self.given.fleet) is not None:
@@ -133,6 +134,7 @@
                 self.config.seed,
                 folder,
                 control,
+                (self.given.control.advertise or "") if self.given.control else "",
                 self.clock,
                 self.log,
                 self.fleet_changed,
@@ -145,7 +147,8 @@
     def fleet_changed(self) -> None:
         """The book's fellows are those that the view sees; the file's stay, as the way to them."""
         if self.link is not None:
-            self.fellows.want(self.link.controls())
+            peers = self.link.control_peers()
+            self.fellows.want([peer.address for peer in peers if peer.seen and peer.address])
 
     def record_use(self, most_waiting: int, settings: i.Settings) -> None:
         given = self.given.usage
@@ -198,6 +201,8 @@
             if self.exporter is not None:
                 nursery.start_soon(self.export_until_the_end, self.exporter)
             if self.acceptor is not None:
+                where = self.acceptor.where
+                self.log(f"control listener on {where}", event="control.begun", listen=where)
                 nursery.start_soon(self.acceptor.run)
             if self.link is not None:
                 nursery.start_soon(self.link.run)
--- a/gorsefork/life/operator.py
+++ b/gorsefork/life/operator.py
@@ -39,9 +39,11 @@
 
 
 class Control(Section):
-    """The listener for operators and fellow ingresses."""
+    """The listener for operators and peers. ``advertise``: where peers reach it, where that is not ``listen``
+    with the host that ``[fleet]`` advertises."""
 
     listen: Dial
+    advertise: Dial | None = None
     key_file: str = ""
     peers: list[Dial] = Field(default=[], max_length=MOST_PEERS)
     catch_up_ms: int = Field(default=3000, ge=0, le=60_000)
@@ -51,7 +53,9 @@
         host, _ = address(self.listen)
         if not ip_address(host).is_loopback and not self.key_file:
             raise ValueError("listen: off loopback a key_file is needed")
-        if self.listen in self.peers:
+        if self.advertise is not None and ip_address(address(self.advertise)[0]).is_unspecified:
+            raise ValueError("advertise: names no address that peers can reach")
+        if self.listen in self.peers or self.advertise in self.peers:
             raise ValueError("peers: names this listener itself")
         return self
 
--- a/gorsefork/wire/fronts/control.py
+++ b/gorsefork/wire/fronts/control.py
@@ -1,191 +1,124 @@
-"""The control front: the plan book and the export of use, for operators and other ingresses.
+"""The control front: for operators and peers. It checks the key, finds the call and answers for it.
 
-HTTP/1.1, JSON in and out (docs/operators/plans.md lists the calls). Every request is checked whole before it
-does anything; a call with an ``Idempotency-Key``, or a number of its own, may be repeated.
+HTTP/1.1, JSON in and out but where a call says otherwise. Who adds calls puts them into ``routes``.
 """
 
 from __future__ import annotations
 
 import hmac
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Annotated, Any, Protocol
+from typing import Any
 from urllib.parse import parse_qsl, unquote
 
 import msgspec
 import trio
-from msgspec import Meta
 
-from gorsefork.memory.call import Answer, Denied, Served
-from gorsefork.plans.book import Book, Standing, customers, differences
-from gorsefork.plans.changes import MOST_TIME, Act, Change, Customer, Number, Refused
-from gorsefork.plans.smallest import Smallest
-from gorsefork.plans.spreading import Page
+from gorsefork.memory.call import Answer, Served
+from gorsefork.memory.flow import MOST_HELD, Flow, Torn
+from gorsefork.plans.changes import Refused
 from gorsefork.wire.acceptor import Exchange
+from gorsefork.wire.fronts.control_request import (
+    JSON,
+    ControlRequest,
+    Handler,
+    Routes,
+    problem,
+    refuse_query,
+)
 
-JSON, MSGPACK = "application/json", "application/msgpack"
-MOST_WAITING = 32  # questions of peers that may stand open at once; more are answered at once
-LONGEST_WAIT_MS = 20_000
-MOST_ROWS = 500
-
-
-class Keeper(Protocol):
-    """Who keeps the book."""
-
-    @property
-    def book(self) -> Book: ...
-    async def make(self, act: Act, author: str, note: str = "", key: str = "") -> Change: ...
-    async def put(self, change: Change) -> Change: ...
-    async def page(self, life: str, position: int, wait: float) -> Page: ...
-    def number(self, text: str) -> Number: ...
-
-
-class Wanted(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The body of a new change."""
-
-    act: Act
-    author: Annotated[str, Meta(min_length=1, max_length=64)]
-    note: Annotated[str, Meta(max_length=200)] = ""
-
-
-class Feed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    life: Annotated[str, Meta(max_length=64)] = ""
-    after: Annotated[int, Meta(ge=0)] = 0
-    wait_ms: Annotated[int, Meta(ge=0, le=LONGEST_WAIT_MS)] = 0
-
-
-class At(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``at``: microseconds of Unix time, 0 for now. ``after``: the last customer, or number, had before."""
-
-    at: Annotated[int, Meta(ge=0, le=MOST_TIME)] = 0
-    after: Annotated[str, Meta(max_length=96)] = ""
-    limit: Annotated[int, Meta(ge=1, le=MOST_ROWS)] = 100
-    customer: Customer | None = None
-
-
-class Span(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={"since": "from"}):
-    since: Annotated[str, Meta(max_length=96)] = ""
-    to: Annotated[str, Meta(max_length=96)] = ""
-    at: Annotated[int, Meta(ge=0, le=MOST_TIME)] = 0
-
-
-def row(customer: str, standing: Standing | None) -> dict[str, Any]:
-    if standing is None:
-        return {"customer": customer, "entry": None, "reservations": [], "since": None}
-    return {
-        "customer": customer,
-        "entry": shown(standing.entry),
-        "since": standing.since,
-        "reservations": [shown(change) for change in standing.reservations],
-    }
-
-
-def shown(change: Change | None) -> dict[str, Any] | None:
-    """A change as operators see it: its number in one word. The caller's key is the caller's own."""
-    if change is None:
-        return None
-    plain: dict[str, Any] = msgspec.to_builtins(change)
-    return {"number": str(change.number), **{name: plain[name] for name in ("act", "author", "note")}}
-
-
-@dataclass(frozen=True, slots=True)
-class Asked:
-    """One request, taken apart."""
-
-    query: Mapping[str, str]
-    body: bytes
-    key: str
-    accept: str
-
-
-Handler = Callable[..., Awaitable[Any]]
+PEER_HEADER = b"gorsefork-peer"  # the name of the ingress that asks, percent-encoded
+BODY_WITHIN = 3.0  # s for a body that is longer than ``MOST_HELD``
+METHODS = ("GET", "POST", "PUT")
 
 
 class ControlFront:
-    """``status`` and ``usage`` tell how things stand, ``export`` sends what waits; ``start`` runs a task."""
+    """``status`` and ``usage`` tell how things stand, ``export`` sends what waits; ``start`` runs a task.
 
-    whole_seconds, passes = True, False
+    ``most_body``: bytes of a body, for calls that take more than ``MOST_HELD``.
+    """
+
+    whole_seconds, passes = True, True
 
     def __init__(
         self,
-        keeper: Keeper,
         secret: str,
-        now: Callable[[], int],
         status: Callable[[], dict[str, Any]],
         usage: Callable[[], dict[str, Any]],
         export: Callable[[], None],
     ) -> None:
-        self.keeper, self.secret, self.now = keeper, secret.encode(), now
+        self.secret = secret.encode()
         self.tell_status, self.tell_usage, self.export_now = status, usage, export
-        self.waiting = 0
         self.start: Callable[[Callable[[], Awaitable[None]]], None]
-        self.routes: dict[tuple[str, str], Handler] = {
+        self.routes: Routes = {
             ("GET", "status"): self.status,
-            ("GET", "plans"): self.plans,
-            ("GET", "plans/*"): self.plan,
-            ("GET", "changes"): self.changes,
-            ("GET", "changes/*"): self.change,
-            ("POST", "changes"): self.make,
-            ("PUT", "changes/*"): self.put,
-            ("GET", "diff"): self.diff,
-            ("GET", "feed"): self.feed,
             ("GET", "usage"): self.usage,
             ("POST", "usage/export"): self.export,
         }
+        self.most_body: dict[tuple[str, str], int] = {}
 
     def begin(self, exchange: Exchange) -> None:
         if not self.allowed(exchange.headers.get(b"authorization", b"")):
-            exchange.reply(
-                problem(
-                    401,
-                    "the bearer key of this listener is needed",
-                    ("WWW-Authenticate", 'Bearer realm="gorsefork"'),
-                )
-            )
+            challenge = ("WWW-Authenticate", 'Bearer realm="gorsefork"')
+            exchange.reply(problem(401, "the bearer key of this listener is needed", challenge))
             return
         path, _, query = exchange.target.partition("?")
         parts = [unquote(part) for part in path.split("/")[1:]]
-        if len(parts) < 2 or parts[0] != "v1":
+        found = self.routes_of(parts)
+        if not found:
             exchange.reply(problem(404, f"no such call: {path}"))
             return
-        routes = ["/".join(parts[1:])] + (["/".join([*parts[1:-1], "*"])] if len(parts) > 2 else [])
-        handlers = {
-            method: (self.routes[method, route], route)
-            for route in reversed(routes)
-            for method in ("GET", "POST", "PUT")
-            if (method, route) in self.routes
-        }
-        if not handlers:
-            exchange.reply(problem(404, f"no such call: {path}"))
-        elif exchange.method not in handlers:
-            exchange.reply(
-                problem(405, f"{path} takes {', '.join(handlers)}", ("Allow", ", ".join(handlers)))
-            )
-        else:
-            handler, route = handlers[exchange.method]
-            pairs = parse_qsl(query, keep_blank_values=True)
-            asked = Asked(
-                dict(pairs), bytes(exchange.body), exchange.text(b"idempotency-key"), exchange.text(b"accept")
-            )
-            if len(asked.query) < len(pairs):
-                exchange.reply(problem(400, "a parameter stands twice"))
-                return
-            self.start(partial(self.serve, exchange, handler, asked, parts[-1:] if "*" in route else []))
+        if exchange.method not in found:
+            methods = ", ".join(found)
+            exchange.reply(problem(405, f"{path} takes {methods}", ("Allow", methods)))
+            return
+        pairs = parse_qsl(query, keep_blank_values=True)
+        if len(dict(pairs)) < len(pairs):
+            exchange.reply(problem(400, "a parameter stands twice"))
+            return
+        route = found[exchange.method]
+        names = parts[-1:] if "*" in route else []
+        self.start(partial(self.serve, exchange, route, dict(pairs), names))
+
+    def routes_of(self, parts: list[str]) -> dict[str, str]:
+        """The route for each method that this path takes. One that names the whole path goes first."""
+        if len(parts) < 2 or parts[0] != "v1":
+            return {}
+        routes = ["/".join(parts[1:])]
+        if len(parts) > 2:
+            routes.insert(0, "/".join([*parts[1:-1], "*"]))
+        return {method: route for route in routes for method in METHODS if (method, route) in self.routes}
 
     def allowed(self, given: bytes) -> bool:
         return not self.secret or hmac.compare_digest(given, b"Bearer " + self.secret)
 
-    async def serve(self, exchange: Exchange, handler: Handler, asked: Asked, names: list[str]) -> None:
+    async def serve(self, exchange: Exchange, route: str, query: dict[str, str], names: list[str]) -> None:
         """A caller that leaves ends its question, but not a change that has begun: that is kept whole."""
+        call = exchange.method, route
+        most = self.most_body.get(call, MOST_HELD)
         with trio.CancelScope() as scope:
             if exchange.method == "GET":
                 exchange.left = scope.cancel
-            exchange.reply(await self.answer(handler, asked, names))
+            try:
+                body = bytes(exchange.body) if exchange.flow is None else await read_body(exchange.flow, most)
+            except BodyTooLong:
+                exchange.reply(problem(413, f"the body is longer than {most} bytes"))
+                return
+            except (Torn, trio.TooSlowError):
+                exchange.reply(problem(408, "the body did not come whole in time"))
+                return
+            request = ControlRequest(
+                query,
+                body,
+                exchange.text(b"idempotency-key"),
+                exchange.text(b"accept"),
+                unquote(exchange.text(PEER_HEADER)),
+            )
+            exchange.reply(await self.answer(self.routes[call], request, names))
 
-    async def answer(self, handler: Handler, asked: Asked, names: list[str]) -> Answer:
+    async def answer(self, handler: Handler, request: ControlRequest, names: list[str]) -> Answer:
         try:
-            result = await handler(asked, *names)
+            result = await handler(request, *names)
         except Refused as refused:
             return problem(refused.status, str(refused))
         except msgspec.ValidationError as error:
@@ -194,113 +127,33 @@
             return problem(400, f"the body is not JSON: {error}")
         return result if isinstance(result, Served) else Served(msgspec.json.encode(result), JSON)
 
-    async def status(self, asked: Asked) -> Any:
-        none(asked)
+    async def status(self, request: ControlRequest) -> Any:
+        refuse_query(request)
         return self.tell_status()
 
-    async def usage(self, asked: Asked) -> Any:
-        none(asked)
+    async def usage(self, request: ControlRequest) -> Any:
+        refuse_query(request)
         return self.tell_usage()
 
-    async def export(self, asked: Asked) -> Any:
-        none(asked)
+    async def export(self, request: ControlRequest) -> Any:
+        refuse_query(request)
         self.export_now()
         return self.tell_usage()
 
-    async def plans(self, asked: Asked) -> Any:
-        page, book = msgspec.convert(asked.query, At, strict=False), self.keeper.book
-        at = page.at or self.now()
-        first: Smallest[dict[str, Any]] = Smallest(page.limit)
-        async for place in places(book):
-            for name in customers(book, place):
-                if name > page.after and first.wants(name):
-                    first.add(name, row(name, book.standing(name, at)))
-        return {"at": at, "customers": first.values(), "more": first.more}
-
-    async def plan(self, asked: Asked, customer: str) -> Any:
-        page, book = msgspec.convert(asked.query, At, strict=False), self.keeper.book
-        name = msgspec.convert(customer, Customer)
-        at = page.at or self.now()
-        return {
-            "at": at,
-            **row(name, book.standing(name, at)),
-            "next": book.next_boundary(name, at),
-            "history": [shown(change) for change in book.of_customer(name)],
-        }
-
-    async def changes(self, asked: Asked) -> Any:
-        page, book = msgspec.convert(asked.query, At, strict=False), self.keeper.book
-        after = self.keeper.number(page.after) if page.after else Number(0, "")
-        first: Smallest[Change] = Smallest(page.limit)
-        if page.customer is not None:
-            first.add_all(change for change in book.of_customer(page.customer) if change.number > after)
-        else:
-            first.add_all(change for change in book.log.of_customer(None) if change.number > after)
-            async for place in places(book):
-                first.add_all(change for change in book.log.part(place) if change.number > after)
-        return {"changes": [shown(change) for change in first.values()], "more": first.more}
-
-    async def change(self, asked: Asked, text: str) -> Any:
-        none(asked)
-        found = self.keeper.book.get(self.keeper.number(text))
-        if found is None:
-            raise Refused(f"no change {text} here", 404)
-        return found
-
-    async def make(self, asked: Asked) -> Any:
-        none(asked)
-        if len(asked.key) > 128:
-            raise Refused("Idempotency-Key: 128 characters at most", 400)
-        wanted = msgspec.json.decode(asked.body, type=Wanted)
-        made = await self.keeper.make(wanted.act, wanted.author, wanted.note, asked.key)
-        return {"number": str(made.number), "change": made}
-
-    async def put(self, asked: Asked, text: str) -> Any:
-        none(asked)
-        change = msgspec.json.decode(asked.body, type=Change)
-        if change.number != self.keeper.number(text):
-            raise Refused("the number in the path and that of the change differ", 400)
-        kept = await self.keeper.put(change)
-        return {"number": str(kept.number), "change": kept}
-
-    async def diff(self, asked: Asked) -> Any:
-        span, book = msgspec.convert(asked.query, Span, strict=False), self.keeper.book
-        since = self.keeper.number(span.since) if span.since else Number(0, "")
-        to = self.keeper.number(span.to) if span.to else None
-        at = span.at or self.now()
-        first: Smallest[dict[str, Any]] = Smallest(MOST_ROWS)
-        async for place in places(book):
-            changes = [*book.log.part(place), *book.log.of_customer(None)]
-            old = Book.replay(change for change in changes if change.number <= since)
-            new = Book.replay(change for change in changes if to is None or change.number <= to)
-            for name, before, after in differences(old, new, at):
-                both = {"customer": name, "before": row(name, before), "after": row(name, after)}
-                first.add(name, both)
-        return {"at": at, "customers": first.values(), "more": first.more}
-
-    async def feed(self, asked: Asked) -> Any:
-        feed = msgspec.convert(asked.query, Feed, strict=False)
-        wait = feed.wait_ms / 1000 if self.waiting < MOST_WAITING else 0.0
-        self.waiting += 1
-        try:
-            page = await self.keeper.page(feed.life, feed.after, wait)
-        finally:
-            self.waiting -= 1
-        return Served(msgspec.msgpack.encode(page), MSGPACK) if asked.accept == MSGPACK else page
-
-
-async def places(book: Book) -> AsyncIterator[int]:
-    """The parts of the book's log; others run between two. A change that comes meanwhile is seen or not."""
-    for place in range(book.log.parts):
-        yield place
-        await trio.lowlevel.checkpoint()
-
 
-def none(asked: Asked) -> None:
-    if asked.query:
-        raise Refused(f"{next(iter(asked.query))}: is not known here", 400)
+class BodyTooLong(Exception):
+    """It has more bytes than its call takes."""
 
 
-def problem(status: int, reason: str, *headers: tuple[str, str]) -> Denied:
-    body = msgspec.json.encode({"error": reason})
-    return Denied(status, (("Content-Type", JSON), *headers), body)
+async def read_body(flow: Flow, most: int) -> bytes:
+    """All of a body that is longer than ``MOST_HELD``. ``Torn``, or ``TooSlowError``, if it does not come."""
+    if flow.length is not None and flow.length > most:
+        raise BodyTooLong
+    body = bytearray()
+    with trio.fail_after(BODY_WITHIN):
+        while pieces := await flow.get():
+            for piece in pieces:
+                body += piece
+            if len(body) > most:
+                raise BodyTooLong
+    return bytes(body)
--- /dev/null
+++ b/gorsefork/wire/fronts/control_request.py
@@ -0,0 +1,40 @@
+"""What the calls of the control listener share: a request taken apart, and how one is refused."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from gorsefork.memory.call import Denied
+from gorsefork.plans.changes import Refused
+
+JSON, MSGPACK = "application/json", "application/msgpack"
+
+
+@dataclass(frozen=True, slots=True)
+class ControlRequest:
+    """One request, taken apart. ``peer``: the ingress that says it asks, or nothing."""
+
+    query: Mapping[str, str]
+    body: bytes
+    key: str
+    accept: str
+    peer: str
+
+
+Handler = Callable[..., Awaitable[Any]]  # of a ControlRequest, and of the path's last part where it varies
+Routes = dict[tuple[str, str], Handler]  # by method and path below /v1; a last part that varies is "*"
+
+
+def refuse_query(request: ControlRequest) -> None:
+    """For calls that take no parameters; ``Refused`` names the first that was given."""
+    if request.query:
+        raise Refused(f"{next(iter(request.query))}: is not known here", 400)
+
+
+def problem(status: int, reason: str, *headers: tuple[str, str]) -> Denied:
+    body = msgspec.json.encode({"error": reason})
+    return Denied(status, (("Content-Type", JSON), *headers), body)
--- a/gorsefork/wire/fronts/fleet_calls.py
+++ b/gorsefork/wire/fronts/fleet_calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from typing import Annotated, Any, Protocol
 
 import msgspec
@@ -10,6 +9,7 @@
 
 from gorsefork.fleet.facts import MOST_NAME
 from gorsefork.plans.changes import Refused
+from gorsefork.wire.fronts.control_request import ControlRequest, Routes, refuse_query
 
 LONGEST_WAIT_MS = 20_000
 MOST_WATCHERS = 16  # waiting at a time; more are answered at once
@@ -39,22 +39,10 @@
     member: Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
 
 
-class Call(Protocol):
-    """What the control front hands to a call."""
-
-    @property
-    def query(self) -> Any: ...
-    @property
-    def body(self) -> bytes: ...
-
-
-Handler = Callable[..., Awaitable[Any]]
-
-
 class FleetCalls:
     def __init__(self, link: Link) -> None:
         self.link, self.watching = link, 0
-        self.routes: dict[tuple[str, str], Handler] = {
+        self.routes: Routes = {
             ("GET", "fleet"): self.status,
             ("GET", "fleet/members"): self.members,
             ("GET", "fleet/watch"): self.watch,
@@ -63,16 +51,16 @@
             ("PUT", "fleet/settings"): self.settings,
         }
 
-    async def status(self, asked: Call) -> Any:
-        self.bare(asked)
+    async def status(self, request: ControlRequest) -> Any:
+        refuse_query(request)
         return self.link.status()
 
-    async def members(self, asked: Call) -> Any:
-        self.bare(asked)
+    async def members(self, request: ControlRequest) -> Any:
+        refuse_query(request)
         return {"members": self.link.members(), **self.link.status()}
 
-    async def watch(self, asked: Call) -> Any:
-        given = msgspec.convert(asked.query, Watch, strict=False)
+    async def watch(self, request: ControlRequest) -> Any:
+        given = msgspec.convert(request.query, Watch, strict=False)
         wait = given.wait_ms / 1000 if self.watching < MOST_WATCHERS else 0.0
         self.watching += 1
         try:
@@ -80,23 +68,18 @@
         finally:
             self.watching -= 1
 
-    async def order(self, asked: Call) -> Any:
-        return {"members": self.link.order(msgspec.convert(asked.query, Key).key)}
+    async def order(self, request: ControlRequest) -> Any:
+        return {"members": self.link.order(msgspec.convert(request.query, Key).key)}
 
-    async def forget(self, asked: Call) -> Any:
-        self.bare(asked)
-        member = msgspec.json.decode(asked.body, type=Forget).member
+    async def forget(self, request: ControlRequest) -> Any:
+        refuse_query(request)
+        member = msgspec.json.decode(request.body, type=Forget).member
         if problem := self.link.forget(member):
             raise Refused(problem, 409)
         return {"members": self.link.members()}
 
-    async def settings(self, asked: Call) -> Any:
-        self.bare(asked)
-        if problem := self.link.change(asked.body):
+    async def settings(self, request: ControlRequest) -> Any:
+        refuse_query(request)
+        if problem := self.link.change(request.body):
             raise Refused(problem)
         return self.link.status()
-
-    @staticmethod
-    def bare(asked: Call) -> None:
-        if asked.query:
-            raise Refused(f"{next(iter(asked.query))}: is not known here", 400)
--- a/gorsefork/wire/services/fleet_link.py
+++ b/gorsefork/wire/services/fleet_link.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, replace
-from typing import Annotated, Any, Protocol
+from typing import Annotated, Any, NamedTuple, Protocol
 
 import msgspec
 import trio
@@ -66,6 +66,16 @@
         return {"number": self.number, "at": self.at, **self.event._asdict()}
 
 
+class ControlPeer(NamedTuple):
+    """Another member whose life goes on. ``address``: its control listener, or nothing; ``seen``: whether it
+    is taken for living."""
+
+    name: str
+    address: str
+    zone: str
+    seen: bool
+
+
 class Shelf(Protocol):
     """Where dials, life and pace are kept for the next life."""
 
@@ -245,11 +255,20 @@
         self.flush()
         return done
 
-    def controls(self) -> list[str]:
-        """Where the others that are seen have their control listeners."""
+    def control_peers(self) -> list[ControlPeer]:
+        """The others whose lives go on, by name, with where each has its control listener."""
         view = self.core.view
-        cards = (view.members[name].fact.card for name in view.seen() if name != self.core.name)
-        return sorted(shown_dial(card.control) for card in cards if card.control)
+        seen = set(view.seen())
+        return sorted(
+            ControlPeer(
+                member.fact.name,
+                shown_dial(member.fact.card.control) if member.fact.card.control else "",
+                member.fact.card.zone,
+                member.fact.name in seen,
+            )
+            for member in view.going()
+            if member.fact.name != self.core.name
+        )
 
     def order(self, key: str) -> list[str]:
         """The members that are seen, best first for this key."""
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -3,7 +3,9 @@
 
 Member i is told to advertise the switch's socket i. What comes there from the listening socket of j goes on
 to the listening socket of i, from the switch's socket j: so every datagram passes here, and its two ends are
-known. Waits are on the processes' own log events or their control listeners, and bounded.
+known. Connections to the control listener of i likewise go through a relay, which reads from the first
+request's ``Gorsefork-Peer`` who has opened it; where a path is cut, its bytes wait until it heals. Waits are
+on the processes' own log events or their control listeners, and bounded.
 """
 
 from __future__ import annotations
@@ -11,6 +13,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -41,15 +44,37 @@
 }
 
 
-@dataclass
+Cut = Callable[[str, str], bool]
+
+
+def whole(one: str, other: str) -> bool:
+    """No path is cut."""
+    return False
+
+
 class Faults:
-    """What the switch does to datagrams; ``cut`` says which it never passes on."""
+    """What the switch does to datagrams. ``cut`` says which it never passes on; a relay holds their bytes."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.loss = self.repeat = 0.0
+        self.delay = (0.0, 0.0)  # s; datagrams overtake each other where it varies
+        self.cut_now: Cut = whole
+        self.cut_changed = trio.Event()
 
-    rng: random.Random
-    loss: float = 0.0
-    repeat: float = 0.0
-    delay: tuple[float, float] = (0.0, 0.0)  # s; datagrams overtake each other where it varies
-    cut: Callable[[str, str], bool] = lambda one, other: False
+    @property
+    def cut(self) -> Cut:
+        return self.cut_now
+
+    @cut.setter
+    def cut(self, cut: Cut) -> None:
+        self.cut_now = cut
+        changed, self.cut_changed = self.cut_changed, trio.Event()
+        changed.set()
+
+    async def until_passable(self, one: str, other: str) -> None:
+        while self.cut_now(one, other):
+            await self.cut_changed.wait()
 
     def fates(self) -> list[float]:
         """For each copy that arrives, how late."""
@@ -71,12 +96,22 @@
     def send(self, number: signal.Signals) -> None:
         self.process.send_signal(number)
 
+    def hear(self, event: dict[str, Any]) -> None:
+        """Paths to it open as soon as it says where it listens, before it is ready."""
+        self.events.append(event)
+        if event["event"] == "fleet.begun":
+            host, _, port = event["listen"].rpartition(":")
+            self.listen = (host, int(port))
+        elif event["event"] == "control.begun":
+            self.control = event["listen"]
+
 
 class Rig:
     def __init__(self, folder: Path, nursery: trio.Nursery, seed: int, pace: str) -> None:
         self.folder, self.nursery, self.pace = folder, nursery, pace
         self.faults = Faults(random.Random(seed))
         self.doors: dict[str, socket.socket] = {}
+        self.relays: dict[str, socket.socket] = {}
         self.now: dict[str, Running] = {}  # the process that a name's datagrams go to
         self.all: list[Running] = []
         self.heard = trio.Event()
@@ -112,6 +147,58 @@
             except OSError:
                 return  # nobody is there
 
+    def relay(self, place: str) -> str:
+        """Where others reach the control listener of that place."""
+        if place not in self.relays:
+            listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+            listener.setblocking(False)
+            self.relays[place] = listener
+            server = trio.SocketListener(trio.socket.from_stdlib_socket(listener))
+            self.nursery.start_soon(
+                trio.serve_listeners, lambda stream: self.relay_connection(place, stream), [server]
+            )
+        return f"127.0.0.1:{self.relays[place].getsockname()[1]}"
+
+    async def relay_connection(self, place: str, client: trio.SocketStream) -> None:
+        """Both ways, until either side ends it. One that names no peer is an operator's, and never cut."""
+        try:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                if not (data := await client.receive_some()):
+                    return
+                head += data
+            named = re.search(rb"(?i)\r\ngorsefork-peer: *(\S+)", head)
+            peer = named[1].decode() if named else ""
+            if (to := self.now.get(place)) is None or not to.control:
+                return
+            await self.faults.until_passable(peer, place)
+            host, _, port = to.control.rpartition(":")
+            server = await trio.open_tcp_stream(host, int(port))
+            await server.send_all(head)
+            async with server, trio.open_nursery() as nursery:
+                nursery.start_soon(self.pump, server, client, place, peer, nursery.cancel_scope)
+                await self.pump(client, server, peer, place, nursery.cancel_scope)
+        except (OSError, trio.BrokenResourceError):
+            return  # nobody is there, or one side has broken it off
+        finally:
+            await trio.aclose_forcefully(client)
+
+    async def pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        sender: str,
+        receiver: str,
+        scope: trio.CancelScope,
+    ) -> None:
+        try:
+            while data := await source.receive_some():
+                await self.faults.until_passable(sender, receiver)
+                await sink.send_all(data)
+        except trio.BrokenResourceError:
+            pass  # either side has broken it off, and so this relay does
+        scope.cancel()
+
     async def start(
         self,
         name: str,
@@ -119,15 +206,23 @@
         place: str = "",
         site: str = "gallery",
         state: bool = False,
+        zone: str = "",
+        catch_up_ms: int = 0,
+        peers: Iterable[str] = (),
     ) -> Running:
-        """``place``: whose door it uses, if not its own; ``state``: with a folder that outlives it."""
+        """``place``: whose door it uses, if not its own; ``state``: with a folder that outlives it.
+
+        ``peers``: named in its file.
+        """
         place = place or name
         folder = self.folder / place
         folder.mkdir(exist_ok=True)
         config = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "7", **CONFIG}
         (folder / "config.json").write_text(json.dumps(config))
         text = (
-            f'[control]\nlisten = "127.0.0.1:0"\ncatch_up_ms = 0\n[fleet]\nlisten = "127.0.0.1:0"\n'
+            f'[control]\nlisten = "127.0.0.1:0"\nadvertise = "{self.relay(place)}"\n'
+            f"catch_up_ms = {catch_up_ms}\npeers = {json.dumps(list(peers))}\n"
+            f'[fleet]\nlisten = "127.0.0.1:0"\nzone = "{zone}"\n'
             f'site = "{site}"\nadvertise = "{self.door(place)}"\n{self.pace}\n'
             f"seeds = {json.dumps([self.door(seed) for seed in seeds if seed != place])}\n"
         )
@@ -147,10 +242,7 @@
         self.all.append(running)
         self.now[place] = running
         self.nursery.start_soon(self.read, running)
-        begun = await self.event(running, "fleet.begun")
-        host, _, port = begun["listen"].rpartition(":")
-        running.listen = (host, int(port))
-        running.control = (await self.event(running, "ingress.ready"))["control"]
+        await self.event(running, "ingress.ready")
         return running
 
     async def started(self, *names: str, **given: Any) -> list[Running]:
@@ -171,7 +263,8 @@
         async for chunk in running.process.stderr:
             *lines, rest = (rest + chunk).split(b"\n")
             for line in lines:
-                running.events.append(json.loads(line) if line.startswith(b"{") else {"event": line.decode()})
+                event = json.loads(line) if line.startswith(b"{") else {"event": line.decode()}
+                running.hear(event)
             self.heard.set()
             self.heard = trio.Event()
 
@@ -223,6 +316,16 @@
 
         return str(await self.until(agreed))
 
+    async def one_digest(self, *running: Running, within: float = WITHIN) -> str:
+        """Until these hold the same configuration; its digest."""
+
+        async def agreed() -> str:
+            told = [await self.ask(each, "GET", "/v1/configuration/status") for each in running]
+            digests = {each["digest"] for each in told}
+            return digests.pop() if len(digests) == 1 else ""
+
+        return str(await self.until(agreed, within))
+
     async def kill(self, running: Running) -> None:
         running.process.kill()
         await running.process.wait()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -356,14 +356,14 @@
         async def main(world: World) -> None:
             extra = world.ingresses[0].extra
             assert extra is not None
-            front = extra.acceptor.front if extra.acceptor else None
+            calls = extra.plan_calls
             life = extra.keeper.arrivals.life
             line = asks("GET", f"/v1/feed?life={life}&after=0&wait_ms=20000", who="c3")
             await world.play(line)
-            while getattr(front, "waiting", 0) < 1:
+            while calls.waiting < 1:
                 await trio.lowlevel.checkpoint()
             await world.play("c3 close")
-            while getattr(front, "waiting", 0) > 0:
+            while calls.waiting > 0:
                 await trio.lowlevel.checkpoint()
             await world.play(line.replace("c3", "c4"))
             await told(world, asks("POST", "/v1/changes", wanted()))
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -45,6 +45,15 @@
         (('"127.0.0.1:8090"', '"localhost:8090"'), ["control.listen: must be an IP address and a port"]),
         (('"127.0.0.1:8090"', '"0.0.0.0:8090"'), ["control.listen: off loopback a key_file is needed"]),
         (('"127.0.0.1:8091"', '"127.0.0.1:8090"'), ["control.peers: names this listener itself"]),
+        (
+            ("peers =", 'advertise = "0.0.0.0:1"\npeers ='),
+            ["control.advertise: names no address that peers can reach"],
+        ),
+        (
+            ("peers =", 'advertise = "10.1.1.1"\npeers ='),
+            ["control.advertise: must be an IP address and a port"],
+        ),
+        (("peers =", 'advertise = "127.0.0.1:8091"\npeers ='), ["control.peers: names this listener itself"]),
         (
             ('["127.0.0.1:8091"]', '["127.0.0.1:8091", "x", "y"]'),
             [
