Replicate configuration between ingresses over the control listener, with bounded connections

Need: every ingress asked every other one over a connection of its own, so that descriptors, questions and answers at rest grew with the fleet, and each change was brought as often as there are ingresses.

Ruled out: a task and a connection a peer with a lower rate (still grows with the fleet); the disk awaited within the replicator (it owns no wait): records are taken to the plan keeper first, and the replicator sees a message once its records are kept and in force.

A peer that answers 404 is of the previous version and is asked by /v1/feed, one old peer each half second; /v1/feed goes on being answered. At the start an ingress says what its disk had, and is ready once it held what a peer holds, or after catch_up_ms with plan.behind. GET /v1/configuration/status and in-force, and gorsefork configuration status|in-force.

/v1/status tells peers; the key fellows stays beside it.

--- a/gorsefork/cli/main.py
+++ b/gorsefork/cli/main.py
@@ -23,11 +23,12 @@
 
 def load() -> None:
     from gorsefork.cli.config import config
+    from gorsefork.cli.configuration import configuration
     from gorsefork.cli.fleet import fleet
     from gorsefork.cli.plans import plans
     from gorsefork.cli.usage import usage
 
-    for command in (config, fleet, plans, usage):
+    for command in (config, configuration, fleet, plans, usage):
         cli.add_command(command)
 
 
--- a/gorsefork/life/fleet.py
+++ b/gorsefork/life/fleet.py
@@ -89,7 +89,8 @@
         seeds,
         clock.unix_offset,
     )
-    return FleetLink(core, sock, clock, log, FileShelf(file) if file is not None else None, changed, settings)
+    shelf = FileShelf(file) if file is not None else None
+    return FleetLink(core, sock, clock, log, shelf, changed, settings, seeded=bool(seeds))
 
 
 def dialable(dial: str) -> bool:
--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -16,6 +16,7 @@
 from gorsefork.life.logs import Logs
 from gorsefork.life.operator import Operator, secret
 from gorsefork.life.plan_records import PlanRecords, load_book
+from gorsefork.life.replication import Replication
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.deciding import Decider
 from gorsefork.plans.book import Book
@@ -28,10 +29,10 @@
 from gorsefork.usage.records import MILLION
 from gorsefork.usage.store import Unkept, UseStore, VolatileStore
 from gorsefork.wire.acceptor import Acceptor
+from gorsefork.wire.fronts.configuration_calls import ConfigurationCalls
 from gorsefork.wire.fronts.control import ControlFront
 from gorsefork.wire.fronts.plan_calls import PlanCalls
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
-from gorsefork.wire.services.fellows import STALE_AFTER, Fellows
 
 if TYPE_CHECKING:
     from gorsefork.wire.services.fleet_link import FleetLink
@@ -107,13 +108,16 @@
             self.log,
         )
         decider.terms = self.contracts
-        self.fellows = Fellows(
+        self.replication = Replication(
+            self.config.name,
+            self.given.fleet.zone if self.given.fleet else "",
             self.given.control.peers if self.given.control else (),
             self.bearer(self.key),
+            self.records,
+            self.keeper,
             self.clock,
-            self.config.seed,
-            self.keeper.learn,
             self.log,
+            self.config.seed,
         )
         if self.given.usage is not None:
             self.record_use(self.given.usage.most_waiting, settings)
@@ -121,6 +125,10 @@
             front = ControlFront(self.key, self.status, self.usage, self.export)
             self.plan_calls = PlanCalls(self.keeper, self.clock.unix_us)
             front.routes.update(self.plan_calls.routes)
+            replication = self.replication
+            calls = ConfigurationCalls(replication.peers.answer, replication.status, replication.in_force)
+            front.routes.update(calls.routes)
+            front.most_body.update(calls.most_body)
             self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
             front.start = self.acceptor.start
         if (fleet := self.given.fleet) is not None:
@@ -145,10 +153,9 @@
                 front.routes.update(FleetCalls(self.link).routes)
 
     def fleet_changed(self) -> None:
-        """The book's fellows are those that the view sees; the file's stay, as the way to them."""
+        """Those that the view sees are peers; the file's stay, as the way to them."""
         if self.link is not None:
-            peers = self.link.control_peers()
-            self.fellows.want([peer.address for peer in peers if peer.seen and peer.address])
+            self.replication.see(self.link.control_peers())
 
     def record_use(self, most_waiting: int, settings: i.Settings) -> None:
         given = self.given.usage
@@ -195,7 +202,7 @@
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.keeper.run)
-            nursery.start_soon(self.fellows.run)
+            nursery.start_soon(self.replication.run)
             if self.recorder is not None:
                 nursery.start_soon(self.recorder.run)
             if self.exporter is not None:
@@ -212,20 +219,10 @@
             await exporter.run()
 
     async def catch_up(self) -> None:
-        """Before this ingress is ready: what fellows have that it missed, or say that it may lack some."""
-        if self.given.control is None or not self.fellows.followers:
-            return
-        with trio.move_on_after(self.given.control.catch_up_ms / 1000):
-            await self.fellows.asked.wait()
-        unheard = [each.dial for each in self.fellows.followers if each.heard_at is None]
-        newest = self.keeper.book.newest.stamp if self.keeper.book.newest else 0
-        if unheard:
-            self.log(
-                f"not all fellows were heard; the newest change here is of {newest}",
-                event="plan.behind",
-                unheard=unheard,
-                newest=newest,
-            )
+        """Before this ingress is ready: what peers have that it missed, or say that it may lack some."""
+        expects_peers = bool(self.replication.peers.states) or (self.link is not None and self.link.seeded)
+        if self.given.control is not None and expects_peers:
+            await self.replication.catch_up(self.given.control.catch_up_ms / 1000)
 
     async def finish(self) -> None:
         """The end of a drain: goodbye to the fleet, and this life's last number is told, if the accounts
@@ -262,16 +259,7 @@
 
     def status(self) -> dict[str, Any]:
         now, book = self.clock.now, self.keeper.book
-        followers = [
-            {
-                "fellow": each.dial,
-                "state": each.state(now, STALE_AFTER),
-                "problem": each.problem,
-                "heard_s_ago": None if each.heard_at is None else round((now - each.heard_at) / SECOND, 3),
-                "same_book": each.heard_at is not None and each.digest == book.digest(),
-            }
-            for each in self.fellows.followers
-        ]
+        peers = self.replication.peers.status()
         return {
             "ingress": self.config.name,
             "life": str(self.shelf.store.life),
@@ -283,7 +271,8 @@
                 "newest": str(book.newest) if book.newest else None,
                 "kept_on_disk": self.database is not None,
             },
-            "fellows": followers,
+            "peers": peers,
+            "fellows": peers,  # the key by which the previous version told them
             "usage": self.usage(),
             "fleet": self.link.status() if self.link is not None else None,
         }
--- /dev/null
+++ b/gorsefork/life/replication.py
@@ -0,0 +1,182 @@
+"""The replication of configuration of one ingress, put together: records, peers, and the calls on them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import msgspec
+import trio
+
+from gorsefork.configuration.intake import place_of
+from gorsefork.configuration.messages import Statement, StatementWanted
+from gorsefork.configuration.records import Record, Version
+from gorsefork.configuration.replication import Peer, Replicator
+from gorsefork.configuration.snapshot import Snapshot
+from gorsefork.configuration.store import RecordStore
+from gorsefork.life.keeper import PlanKeeper
+from gorsefork.life.plan_records import record_of
+from gorsefork.life.record_intake import RecordIntake
+from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.memory.ports import Log
+from gorsefork.plans.changes import Refused
+from gorsefork.wire.services.exchange import Transport, peer_headers
+from gorsefork.wire.services.feeds import FeedReader
+from gorsefork.wire.services.fleet_link import ControlPeer
+from gorsefork.wire.services.peers import Peers
+from gorsefork.wire.services.survey import LIMITS as SURVEY_LIMITS
+from gorsefork.wire.services.survey import Member, Question, in_force
+
+MOST_NAMED = 20  # peers in one log line or status
+
+
+class Replication:
+    """``fixed``: addresses of peers that the operator's file names, whoever is seen."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        fixed: Sequence[str],
+        authorization: str,
+        store: RecordStore,
+        keeper: PlanKeeper,
+        clock: Clock,
+        log: Log,
+        seed: int,
+    ) -> None:
+        self.name, self.authorization, self.store, self.keeper = name, authorization, store, keeper
+        self.clock, self.log = clock, log
+        self.fixed = [Peer(address, address, "") for address in dict.fromkeys(fixed)]
+        self.view: list[ControlPeer] = []
+        self.restored = len(store), store.newest
+        self.intake = RecordIntake(store, keeper.take_records)
+        self.replicator = Replicator(
+            name,
+            zone,
+            store,
+            self.intake.judged,
+            random.Random(f"{seed}{clock.unix_us()}"),
+            life=clock.unix_us(),
+            install=self.install,
+        )
+        self.feeds = FeedReader(
+            authorization, clock, seed, keeper.learn, self.feed_reported, peer_headers(name)
+        )
+        transport = Transport(name, authorization)
+        self.peers = Peers(transport, self.replicator, self.intake, self.feeds, clock, log)
+        keeper.published = self.publish
+        self.see(())
+
+    def publish(self, records: Sequence[Record]) -> None:
+        self.peers.publish(records)
+
+    def feed_reported(self, address: str, problem: str) -> None:
+        self.peers.feed_reported(address, problem)
+
+    def install(self, snapshot: Snapshot) -> None:
+        self.peers.begin_install(snapshot)
+
+    def see(self, view: Iterable[ControlPeer]) -> None:
+        """The other members of the fleet's view. Replication speaks with those that are taken for living."""
+        self.view = list(view)
+        seen = [Peer(each.name, each.address, each.zone) for each in self.view if each.seen and each.address]
+        addresses = {peer.address for peer in seen}
+        self.peers.set_peers([*seen, *(peer for peer in self.fixed if peer.address not in addresses)])
+
+    async def run(self) -> None:
+        records, newest = self.restored
+        if records:
+            age = max(0, self.clock.unix_us() - newest.stamp) / SECOND
+            self.log(
+                f"begins with {records} records of its own disk; the newest is {age:.0f} s old",
+                event="configuration.restored",
+                records=records,
+                newest=shown(newest),
+                age_s=round(age, 3),
+            )
+        await self.peers.run()
+
+    async def catch_up(self, within: float) -> None:
+        """Until this ingress holds what a peer holds, ``within`` s at the most; else say that it may not."""
+        with trio.move_on_after(within):
+            await self.peers.catch_up()
+        if self.peers.agreed.is_set():
+            return
+        unheard = [state.peer.name for state in self.peers.states.values() if state.heard_at is None]
+        newest = self.store.newest
+        self.log(
+            f"not known to hold all that its peers hold; the newest change here is {shown(newest) or 'none'}",
+            event="plan.behind",
+            unheard=unheard[:MOST_NAMED],
+            unheard_count=len(unheard),
+            newest=newest.stamp,
+            records=len(self.store),
+        )
+
+    def status(self) -> dict[str, Any]:
+        states, now = list(self.peers.states.values()), self.clock.now
+        figures, intake = self.replicator.figures, self.replicator.intake.figures
+        unheard = [state.peer.name for state in states if state.heard_at is None]
+        return {
+            "ingress": self.name,
+            "digest": self.store.digest().hex(),
+            "records": len(self.store),
+            "bytes": self.store.size,
+            "newest": shown(self.store.newest),
+            "horizon": self.keeper.book.horizon,
+            "changed_s_ago": round((now - self.replicator.intake.changed_at) / SECOND, 3),
+            "restored": {"records": self.restored[0], "newest": shown(self.restored[1])},
+            "caught_up": self.peers.agreed.is_set(),
+            "downloading": self.replicator.download is not None or self.peers.installing,
+            "contradictions": self.store.contradicted,
+            "refused": {reason.name.lower(): count for reason, count in intake.refused.items() if count},
+            "peers": {
+                "known": len(states),
+                "heard": len(states) - len(unheard),
+                "unheard": unheard[:MOST_NAMED],
+                "failing": [state.peer.name for state in states if state.problem][:MOST_NAMED],
+                "old_version": sum(bool(state.old_until) for state in states),
+            },
+            "requests": {purpose.value: count for purpose, count in figures.requests.items()},
+            "failed": figures.failed,
+            "comparisons": figures.comparisons,
+            "differing": figures.differing,
+            "snapshots": figures.snapshots,
+        }
+
+    async def in_force(self, number: str) -> dict[str, Any]:
+        """Who of the whole fleet has the change of that number; without one, who holds what is held here.
+
+        ``Refused``: the number makes no sense (400), or nothing here has it (404).
+        """
+        place = None
+        if number:
+            change = self.keeper.book.get(self.keeper.number(number))
+            if change is None:
+                raise Refused(f"no change {number} here: ask the ingress that accepted it", 404)
+            place = place_of(record_of(change))
+        own = msgspec.structs.replace(self.statement(), held=[] if place is None else [True])
+        question = Question(own, place, number)
+        transport = Transport(self.name, self.authorization, SURVEY_LIMITS)
+        try:
+            return await in_force(transport, self.members(), question)
+        finally:
+            transport.close()
+
+    def statement(self) -> Statement:
+        (said,) = self.replicator.answerer.answer_one(self.name, StatementWanted([]), self.clock.now)
+        assert isinstance(said, Statement)
+        return said
+
+    def members(self) -> list[Member]:
+        """All other members whose lives go on, seen or not, and the peers of the file."""
+        addresses = {each.address for each in self.view}
+        fixed = [Member(peer.name, peer.address) for peer in self.fixed if peer.address not in addresses]
+        return [*(Member(each.name, each.address) for each in self.view), *fixed]
+
+
+def shown(version: Version) -> str | None:
+    """A version in one word, or nothing where there is none."""
+    return f"{version.stamp}@{version.origin}" if version.stamp else None
--- a/gorsefork/wire/http1/client.py
+++ b/gorsefork/wire/http1/client.py
@@ -115,6 +115,8 @@
                     data = await stream.receive()
                     if not data and kept and not heard:
                         raise Stale
+                    if not data and head is None:
+                        raise NoAnswer(f"{self.dial} closed with no answer")
                     heard = True
                     http.receive_data(data)
                 elif isinstance(event, h11.Response):
--- a/gorsefork/wire/services/fleet_link.py
+++ b/gorsefork/wire/services/fleet_link.py
@@ -100,7 +100,10 @@
 
 
 class FleetLink:
-    """``changed`` is called after each change of who is seen. Cancelled, it leaves without a goodbye."""
+    """``changed`` is called after each change of who is seen; ``seeded``: it knows where to look for others.
+
+    Cancelled, it leaves without a goodbye.
+    """
 
     def __init__(
         self,
@@ -111,9 +114,10 @@
         shelf: Shelf | None,
         changed: Callable[[], None],
         given: Settings,
+        seeded: bool = False,
     ) -> None:
         self.core, self.sock, self.clock, self.log, self.shelf = core, sock, clock, log, shelf
-        self.changed, self.given = changed, given
+        self.changed, self.given, self.seeded = changed, given, seeded
         self.rearmed = trio.Event()
         self.told: deque[Told] = deque(maxlen=MOST_EVENTS)
         self.number = 0
