--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -126,9 +126,11 @@
             self.plan_calls = PlanCalls(self.keeper, self.clock.unix_us)
             front.routes.update(self.plan_calls.routes)
             replication = self.replication
-            calls = ConfigurationCalls(replication.peers.answer, replication.status, replication.in_force)
-            front.routes.update(calls.routes)
-            front.most_body.update(calls.most_body)
+            self.configuration_calls = ConfigurationCalls(
+                replication.peers.answer, replication.status, replication.in_force
+            )
+            front.routes.update(self.configuration_calls.routes)
+            front.most_body.update(self.configuration_calls.most_body)
             self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
             front.start = self.acceptor.start
         if (fleet := self.given.fleet) is not None:
--- /dev/null
+++ b/tests/test_replication_service.py
@@ -0,0 +1,392 @@
+"""Replication over real connections: what the exchange refuses, what it costs, faulty peers, arrival."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+from unittest import mock
+
+import msgspec
+import pytest
+import trio
+from scenario import World, scenario
+from test_client_pool import Server
+from test_control import CONTROL, asks, told, wanted
+
+from gorsefork.configuration.messages import (
+    MOST_MESSAGE_BYTES,
+    AnyMessage,
+    Received,
+    Statement,
+    as_records,
+    decode,
+    encode,
+)
+from gorsefork.configuration.records import Record, RecordRefused, Refusal
+from gorsefork.configuration.replication import Peer, Replicator, Tempo
+from gorsefork.configuration.store import RecordStore
+from gorsefork.life.installation import Installation
+from gorsefork.life.plan_records import record_of
+from gorsefork.life.record_intake import RecordIntake
+from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.plans.changes import Change, SetPlan
+from gorsefork.wire.fronts import configuration_calls
+from gorsefork.wire.http1.client import HttpClient, Response
+from gorsefork.wire.services import peers as peers_module
+from gorsefork.wire.services import survey as survey_module
+from gorsefork.wire.services.exchange import LIMITS, MEDIA, Transport, peer_headers
+from gorsefork.wire.services.feeds import FeedReader
+from gorsefork.wire.services.peers import Peers
+from gorsefork.wire.services.survey import Member, Question
+
+EXCHANGE = "/v1/configuration/exchange"
+MANY = 150  # peers of a large fleet
+SAME = encode([])  # an answer that says nothing
+
+
+def extra_of(world: World, place: int = 0) -> Installation:
+    extra = world.ingresses[place].extra
+    assert extra is not None
+    return extra
+
+
+def set_plan(number: int, stamp: int) -> Change:
+    return Change(stamp, "n9", SetPlan(f"{number:016x}", "rated", 1), "zoe")
+
+
+async def exchange(world: World, body: bytes, peer: str = "n9", at: int = 0) -> Response:
+    acceptor = extra_of(world, at).acceptor
+    assert acceptor is not None
+    client = HttpClient(acceptor.where)
+    try:
+        return await client.ask("POST", EXCHANGE, body, MEDIA, 5.0, peer_headers(peer))
+    finally:
+        client.close()
+
+
+class TestExchange:
+    def test_records_are_taken_and_one_that_nobody_can_read_hinders_no_other(self) -> None:
+        async def main(world: World) -> None:
+            now = Clock().unix_us()
+            good = record_of(set_plan(1, now))
+            poison = Record("plan", f"{2:016x}", now + 1, "n9", "zoe", b"\xc1")
+            body = encode([as_records([poison, good], 0)])
+            for _ in range(2):  # the second time all is known
+                answer = await exchange(world, body)
+                assert answer.status == 200
+                (received,) = decode(answer.body)
+                assert isinstance(received, Received)
+            extra = extra_of(world)
+            assert len(extra.records) == 1 and extra.records.holds(good)
+            status = await told(world, asks("GET", "/v1/configuration/status"))
+            assert status["records"] == 1 and status["digest"] == extra.records.digest().hex()
+
+        scenario("", operator=CONTROL, then=main)
+
+    def test_a_body_beyond_what_other_calls_take_is_read_up_to_the_bound_of_a_message(self) -> None:
+        async def main(world: World) -> None:
+            now = Clock().unix_us()
+            changes = [set_plan(n, now + n) for n in range(500)]
+            records = [record_of(msgspec.structs.replace(each, note="z" * 200)) for each in changes]
+            body = encode([as_records(records, 0)])
+            assert 65536 < len(body) < MOST_MESSAGE_BYTES
+            assert (await exchange(world, body)).status == 200
+            assert len(extra_of(world).records) == 500
+            assert (await exchange(world, bytes(MOST_MESSAGE_BYTES + 1))).status == 413
+
+        scenario("", operator=CONTROL, then=main)
+
+    @pytest.mark.parametrize(
+        ("body", "peer", "status", "reason"),
+        [
+            (b"what?", "n9", 400, "cannot be read"),
+            (b"", "n9", 400, "cannot be read"),
+            (encode([]), "", 400, "Gorsefork-Peer"),
+            (encode([]), "n" * 65, 400, "Gorsefork-Peer"),
+        ],
+    )
+    def test_what_makes_no_sense_is_refused_with_its_reason(
+        self, body: bytes, peer: str, status: int, reason: str
+    ) -> None:
+        async def main(world: World) -> None:
+            answer = await exchange(world, body, peer)
+            assert answer.status == status
+            assert reason in msgspec.json.decode(answer.body)["error"]
+
+        scenario("", operator=CONTROL, then=main)
+
+    def test_exchanges_beyond_their_bound_give_way_to_operators(self) -> None:
+        async def main(world: World) -> None:
+            extra = extra_of(world)
+            gate = trio.Event()
+            take = extra.replication.intake.take
+
+            async def held(messages: Any) -> Any:
+                await gate.wait()
+                return await take(messages)
+
+            extra.replication.intake.take = held  # type: ignore[method-assign]
+            answers: list[int] = []
+
+            async def ask() -> None:
+                answers.append((await exchange(world, encode([]))).status)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(configuration_calls.MOST_EXCHANGES):
+                    nursery.start_soon(ask)
+                with trio.fail_after(5):
+                    while extra.configuration_calls.exchanges < configuration_calls.MOST_EXCHANGES:
+                        await trio.lowlevel.checkpoint()
+                refused = await exchange(world, encode([]))
+                assert refused.status == 503 and b"ask another peer" in refused.body
+                await told(world, asks("GET", "/v1/status"))
+                gate.set()
+            assert answers == [200] * configuration_calls.MOST_EXCHANGES
+
+        scenario("", operator=CONTROL, then=main)
+
+
+class TestInForce:
+    @pytest.mark.parametrize(
+        ("query", "status", "reason"),
+        [
+            ("?number=seven", 400, "no number"),
+            ("?number=7@n9", 404, "ask the ingress that accepted it"),
+            ("?depth=1", 422, "depth"),
+            (f"?number={'1' * 97}", 422, "number"),
+        ],
+    )
+    def test_a_question_that_makes_no_sense_is_refused(self, query: str, status: int, reason: str) -> None:
+        async def main(world: World) -> None:
+            path = f"/v1/configuration/in-force{query}"
+            assert reason in (await told(world, asks("GET", path), status))["error"]
+
+        scenario("", operator=CONTROL, then=main)
+
+    def test_it_tells_who_has_a_change_who_lacks_it_and_who_says_nothing(self) -> None:
+        async def main(world: World) -> None:
+            made = await told(world, asks("POST", "/v1/changes", wanted()))
+            replication = extra_of(world).replication
+            lacking = extra_of(world, 1).acceptor
+            assert lacking is not None
+            silent = world.servers["accounts"].dial
+            replication.fixed = [Peer("n1", lacking.where, ""), Peer("n2", silent, "")]
+            with mock.patch.object(survey_module, "ANSWER_WITHIN", 0.2):
+                said = await told(world, asks("GET", f"/v1/configuration/in-force?number={made['number']}"))
+                assert (said["has"], said["lacks"], said["silent"]) == (["n0"], ["n1"], ["n2"])
+                assert not said["everywhere"] and "did not answer" in said["members"][2]["reason"]
+                replication.fixed = replication.fixed[:1]
+                said = await told(world, asks("GET", "/v1/configuration/in-force"))
+                assert (said["has"], said["lacks"], said["silent"]) == (["n0"], ["n1"], [])
+
+        scenario("", ingresses=2, operator=CONTROL, apart=True, then=main)
+
+    def test_a_survey_of_a_large_fleet_ends_in_its_time_and_with_bounded_connections(self) -> None:
+        async def main() -> None:
+            server = Server()
+            server.gate = trio.Event()  # nobody answers
+            async with at_many_addresses(server, MANY) as addresses:
+                own = Statement("n0", 0, bytes(8), 0, 0, "", 0, 0, [])
+                transport = Transport("n0", "", survey_module.LIMITS)
+                members = [Member(f"n{n + 1}", address) for n, address in enumerate(addresses)]
+                with (
+                    mock.patch.object(survey_module, "SURVEY_WITHIN", 0.3),
+                    mock.patch.object(survey_module, "ANSWER_WITHIN", 0.1),
+                ):
+                    with trio.fail_after(2):
+                        said = await survey_module.in_force(transport, members, Question(own))
+                transport.close()
+                assert said["has"] == ("n0",) and len(said["silent"]) == MANY
+                assert 0 < server.accepted < MANY
+                server.gate.set()
+                await server.until_connected(0)
+
+        trio.run(main)
+
+
+@asynccontextmanager
+async def at_many_addresses(server: Server, count: int = 1) -> AsyncIterator[list[str]]:
+    """One server behind so many listeners: to a client they are many servers."""
+    async with trio.open_nursery() as nursery:
+        addresses = []
+        for _ in range(count):
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            addresses.append(f"127.0.0.1:{listeners[0].socket.getsockname()[1]}")
+            nursery.start_soon(trio.serve_listeners, server.serve, listeners)
+        yield addresses
+        nursery.cancel_scope.cancel()
+
+
+class Service:
+    """A replica's peers actor, without an ingress around it."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        trio.lowlevel.add_instrument(self.clock)
+        self.events: list[dict[str, Any]] = []
+        self.store = RecordStore()
+        self.intake = RecordIntake(self.store, self.take_records)
+        rng = random.Random(5)
+        self.replicator = Replicator("n0", "", self.store, self.intake.judged, rng)
+        feeds = FeedReader("", self.clock, 1, self.learn, self.reported, peer_headers("n0"))
+        transport = Transport("n0", "")
+        self.peers = Peers(transport, self.replicator, self.intake, feeds, self.clock, self.log)
+
+    async def take_records(self, records: Any) -> list[RecordRefused | None]:
+        return [
+            outcome if isinstance(outcome, RecordRefused) else None for outcome in self.store.add_all(records)
+        ]
+
+    async def learn(self, changes: Any) -> str:
+        return ""
+
+    def reported(self, address: str, problem: str) -> None:
+        self.peers.feed_reported(address, problem)
+
+    def log(self, text: str, /, *, event: str, **fields: object) -> None:
+        self.events.append({"event": event, **fields})
+
+    def told(self, kind: str) -> list[Any]:
+        return [event["peer"] for event in self.events if event["event"] == kind]
+
+    async def until(self, what: Callable[[], bool]) -> None:
+        with trio.fail_after(8):
+            while not what():
+                await self.peers.answered.wait()
+
+
+def http(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class TestPeers:
+    def test_a_large_fleet_costs_no_more_connections_than_the_pool_has(self) -> None:
+        async def main() -> None:
+            server, service = Server(http(SAME)), Service()
+            async with at_many_addresses(server, MANY) as addresses, trio.open_nursery() as nursery:
+                service.peers.set_peers(
+                    [Peer(f"n{n + 1}", address, "") for n, address in enumerate(addresses)]
+                )
+                nursery.start_soon(service.peers.run)
+                most = 0
+                for stamp in range(1, 41):  # a change each, pushed to several peers
+                    record = record_of(set_plan(stamp, stamp))
+                    service.store.add(record)
+                    service.peers.publish([record])
+                    asked = server.asked
+                    await server.until_asked(asked + 1)
+                    most = max(most, server.connected)
+                assert 0 < most <= LIMITS.most_kept + LIMITS.most_at_once
+                pool = service.peers.transport.pool
+                assert len(pool.idle) <= LIMITS.most_kept
+                nursery.cancel_scope.cancel()
+            await server.until_connected(0)
+
+        trio.run(main)
+
+    def test_a_peer_at_fault_is_told_of_once_until_it_is_heard_again(self) -> None:
+        async def main() -> None:
+            server, service = Server(http(b"what?")), Service()
+            async with at_many_addresses(server) as addresses, trio.open_nursery() as nursery:
+                service.peers.set_peers([Peer("n1", addresses[0], "")])
+                nursery.start_soon(service.peers.run)
+                await service.until(lambda: service.replicator.figures.failed >= 2)
+                assert service.told("peer.unheard") == ["n1"]
+                assert service.peers.status()[0]["state"] == "unheard"
+                server.answer = http(SAME)
+                await service.until(lambda: service.told("peer.heard") == ["n1"])
+                assert service.peers.status()[0]["problem"] == ""
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_a_peer_of_the_previous_version_is_left_to_the_feed_and_tried_again(self) -> None:
+        async def main() -> None:
+            service = Service()
+            server = Server(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+            with mock.patch.object(peers_module, "OLD_VERSION_FOR", SECOND // 5):
+                async with at_many_addresses(server) as addresses, trio.open_nursery() as nursery:
+                    service.peers.set_peers([Peer("n1", addresses[0], "")])
+                    nursery.start_soon(service.peers.run)
+                    await service.until(lambda: "n1" in service.told("peer.old_version"))
+                    assert list(service.peers.feeds.followers) == [addresses[0]]
+                    server.answer = http(SAME)  # it was replaced by a newer one
+                    await service.until(lambda: "n1" in service.told("peer.heard"))
+                    assert not service.peers.feeds.followers
+                    assert not service.peers.status()[0]["old_version"]
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_one_that_has_gone_is_asked_no_more(self) -> None:
+        async def main() -> None:
+            server, service = Server(http(SAME)), Service()
+            async with at_many_addresses(server) as addresses, trio.open_nursery() as nursery:
+                service.peers.set_peers([Peer("n1", addresses[0], "")])
+                nursery.start_soon(service.peers.run)
+                await service.until(lambda: service.told("peer.heard") == ["n1"])
+                service.peers.set_peers([])
+                assert service.peers.status() == [] and service.replicator.wake_at is None
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
+class TestArrival:
+    def test_one_that_is_far_behind_takes_a_snapshot_and_is_ready_with_all(self) -> None:
+        async def main(world: World) -> None:
+            now = Clock().unix_us()
+            first, second = extra_of(world, 0), extra_of(world, 1)
+            assert await first.keeper.learn([set_plan(n, now + n) for n in range(2100)]) == ""
+            where = first.acceptor.where if first.acceptor else ""
+            # Compared once a minute: it does not wait for the second comparison that confirms the first.
+            second.replication.replicator.tempo = Tempo(compare_every=60 * SECOND)
+            second.replication.fixed = [Peer("n0", where, "")]
+            second.replication.see(())
+            with trio.fail_after(10):
+                await second.replication.peers.catch_up()
+            assert second.records.digest() == first.records.digest()
+            assert second.keeper.book.digest() == first.keeper.book.digest()
+            status = second.replication.status()
+            assert status["snapshots"] == 1 and status["caught_up"] and not status["downloading"]
+
+        scenario("", ingresses=2, operator=CONTROL, apart=True, then=main)
+
+    def test_news_goes_on_to_those_whom_its_maker_does_not_know(self) -> None:
+        async def main(world: World) -> None:
+            extras = [extra_of(world, place) for place in range(3)]
+            addresses = [extra.acceptor.where for extra in extras if extra.acceptor]
+            for place, extra in enumerate(extras):
+                known = (place + 1) % 3
+                extra.replication.replicator.tempo = Tempo(compare_every=60 * SECOND)
+                extra.replication.fixed = [Peer(f"n{known}", addresses[known], "")]
+                extra.replication.see(())
+            for extra in extras:
+                with trio.fail_after(5):
+                    await extra.replication.peers.catch_up()
+            await told(world, asks("POST", "/v1/changes", wanted()))
+            with trio.fail_after(5):
+                while len(extras[2].records) < 1:
+                    await extras[2].keeper.news.wait()
+
+        scenario("", ingresses=3, operator=CONTROL, apart=True, then=main)
+
+    def test_a_refusal_is_remembered_for_the_replicator(self) -> None:
+        async def main() -> None:
+            store = RecordStore()
+            refused = RecordRefused(Refusal.CLOCK_AHEAD)
+
+            async def take(records: Any) -> list[RecordRefused | None]:
+                return [refused for _ in records]
+
+            intake = RecordIntake(store, take)
+            record = record_of(set_plan(1, 5))
+            messages: list[AnyMessage] = [as_records([record], 0)]
+            assert await intake.take(messages) == []
+            assert intake.judged([record]) == [refused]
+            other = intake.judged([record_of(set_plan(2, 6))])[0]
+            assert other is not None and other.refusal is Refusal.NO_DISK
+
+        trio.run(main)
