--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
 from unittest import mock
@@ -98,6 +98,19 @@
 
         scenario("", operator=CONTROL, then=main)
 
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            f"Content-Length: {MOST_MESSAGE_BYTES + 1}\\n\\n" + "x" * 70_000,  # it is not waited for
+            "Transfer-Encoding: chunked\\n\\n" + f"10000\\n{'x' * 65536}\\n" * 5,  # nor for its end
+        ],
+    )
+    def test_a_body_that_is_too_long_is_refused_before_its_end(self, sent: str) -> None:
+        scenario(
+            f"c1 send raw3 POST {EXCHANGE} HTTP/1.1\\nHost: x\\nGorsefork-Peer: n9\\n{sent}\nc1 expect 413",
+            operator=CONTROL,
+        )
+
     @pytest.mark.parametrize(
         ("body", "peer", "status", "reason"),
         [
@@ -165,6 +178,14 @@
 
         scenario("", operator=CONTROL, then=main)
 
+    def test_questions_to_the_whole_fleet_have_a_bound(self) -> None:
+        async def main(world: World) -> None:
+            with mock.patch.object(configuration_calls, "MOST_SURVEYS", 0):
+                said = await told(world, asks("GET", "/v1/configuration/in-force"), 503)
+            assert "ask again" in said["error"]
+
+        scenario("", operator=CONTROL, then=main)
+
     def test_it_tells_who_has_a_change_who_lacks_it_and_who_says_nothing(self) -> None:
         async def main(world: World) -> None:
             made = await told(world, asks("POST", "/v1/changes", wanted()))
@@ -341,12 +362,27 @@
             first, second = extra_of(world, 0), extra_of(world, 1)
             assert await first.keeper.learn([set_plan(n, now + n) for n in range(2100)]) == ""
             where = first.acceptor.where if first.acceptor else ""
-            # Compared once a minute: it does not wait for the second comparison that confirms the first.
-            second.replication.replicator.tempo = Tempo(compare_every=60 * SECOND)
+            take, gate = second.replication.intake.take_records, trio.Event()
+
+            async def held(records: Sequence[Record]) -> list[RecordRefused | None]:
+                await gate.wait()
+                return await take(records)
+
+            second.replication.intake.take_records = held
             second.replication.fixed = [Peer("n0", where, "")]
             second.replication.see(())
+            peers, replicator = second.replication.peers, second.replication.replicator
             with trio.fail_after(10):
-                await second.replication.peers.catch_up()
+                while not peers.installing:
+                    await peers.answered.wait()
+            comparisons = replicator.figures.comparisons
+            with trio.move_on_after(2 * replicator.tempo.compare_again / SECOND):
+                while replicator.figures.comparisons == comparisons:
+                    await peers.answered.wait()
+            assert replicator.figures.comparisons == comparisons  # it asks for nothing meanwhile
+            gate.set()
+            with trio.fail_after(10):
+                await peers.catch_up()
             assert second.records.digest() == first.records.digest()
             assert second.keeper.book.digest() == first.keeper.book.digest()
             status = second.replication.status()
@@ -354,6 +390,20 @@
 
         scenario("", ingresses=2, operator=CONTROL, apart=True, then=main)
 
+    def test_one_that_lacks_little_is_ready_without_waiting_for_another_turn(self) -> None:
+        async def main(world: World) -> None:
+            first, second = extra_of(world, 0), extra_of(world, 1)
+            now = Clock().unix_us()
+            assert await first.keeper.learn([set_plan(n, now + n) for n in range(5)]) == ""
+            second.replication.replicator.tempo = Tempo(compare_every=60 * SECOND)
+            second.replication.fixed = [Peer("n0", first.acceptor.where if first.acceptor else "", "")]
+            second.replication.see(())
+            with trio.fail_after(5):
+                await second.replication.peers.catch_up()
+            assert second.records.digest() == first.records.digest()
+
+        scenario("", ingresses=2, operator=CONTROL, apart=True, then=main)
+
     def test_news_goes_on_to_those_whom_its_maker_does_not_know(self) -> None:
         async def main(world: World) -> None:
             extras = [extra_of(world, place) for place in range(3)]
