Give control its share of the descriptors, and let nobody compare in a hurry for ever

Need: the control listener's 64 connections, those to peers and those of a survey were not counted where clients get their share, so that with few descriptors all together could pass the limit. And an ingress whose peers never agree with it, as where one holds a record that the other refuses, compared without a pause.

--- a/gorsefork/cli/configuration.py
+++ b/gorsefork/cli/configuration.py
@@ -8,7 +8,7 @@
 
 from gorsefork.cli.control import Failed, Targets, reaches, show, targets, when
 
-SURVEY_WITHIN = 8.0  # s for an answer about the whole fleet; the ingress gives up after 4
+SURVEY_WITHIN = 8.0  # s for an answer about the whole fleet; the ingress gives up after 5
 
 
 @click.group()
--- a/gorsefork/cli/plans.py
+++ b/gorsefork/cli/plans.py
@@ -310,7 +310,7 @@
                 row["book"]["changes"],
                 row["book"]["newest"] or "-",
                 "yes" if row["book"]["kept_on_disk"] else "no",
-                peers_summary(row.get("peers", row["fellows"])),
+                peers_summary(row["peers"] if "peers" in row else row["fellows"]),
             ]
             for row in answers
         ],
@@ -331,4 +331,5 @@
 
 def peer_state(peer: dict[str, Any]) -> str:
     """``fellow`` is the key by which ingresses of the previous version name a peer."""
-    return f"{peer.get('peer', peer['fellow'])} {peer['state']}"
+    name = peer["peer"] if "peer" in peer else peer["fellow"]
+    return f"{name} {peer['state']}"
--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -12,6 +12,7 @@
 from gorsefork.configuration.store import RecordStore
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import Config
+from gorsefork.life.control_connections import control_connections
 from gorsefork.life.keeper import NoStorage, PlanKeeper, RecordStorage
 from gorsefork.life.logs import Logs
 from gorsefork.life.operator import Operator, secret
@@ -37,7 +38,6 @@
 if TYPE_CHECKING:
     from gorsefork.wire.services.fleet_link import FleetLink
 
-MOST_CONTROL = 64  # connections to the control listener
 LAST_EXPORT = 1.0  # s at the end for what the accounts have not acknowledged
 
 
@@ -91,6 +91,7 @@
         self.acceptor: Acceptor | None = None
         self.link: FleetLink | None = None
         self.exporting = trio.CancelScope()
+        self.connections = control_connections(config.sockets)
         self.began = clock.now
 
     def attach(self, decider: Decider, ready: Callable[[], bool]) -> None:
@@ -118,20 +119,24 @@
             self.clock,
             self.log,
             self.config.seed,
+            self.connections,
         )
         if self.given.usage is not None:
             self.record_use(self.given.usage.most_waiting, settings)
         if self.given.control is not None:
             front = ControlFront(self.key, self.status, self.usage, self.export)
-            self.plan_calls = PlanCalls(self.keeper, self.clock.unix_us)
+            self.plan_calls = PlanCalls(self.keeper, self.clock.unix_us, self.connections.listener // 2)
             front.routes.update(self.plan_calls.routes)
             replication = self.replication
             self.configuration_calls = ConfigurationCalls(
-                replication.peers.answer, replication.status, replication.in_force
+                replication.peers.answer,
+                replication.status,
+                replication.in_force,
+                self.connections.listener // 4,
             )
             front.routes.update(self.configuration_calls.routes)
             front.most_body.update(self.configuration_calls.most_body)
-            self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
+            self.acceptor = Acceptor(self.given.control.listen, front, self.clock, self.connections.listener)
             front.start = self.acceptor.start
         if (fleet := self.given.fleet) is not None:
             from gorsefork.life.fleet import fleet_link
--- a/gorsefork/life/replication.py
+++ b/gorsefork/life/replication.py
@@ -12,9 +12,10 @@
 from gorsefork.configuration.intake import place_of
 from gorsefork.configuration.messages import Statement, StatementWanted
 from gorsefork.configuration.records import Record, Version
-from gorsefork.configuration.replication import Peer, Replicator
+from gorsefork.configuration.replication import Peer, Replicator, Tempo
 from gorsefork.configuration.snapshot import Snapshot
 from gorsefork.configuration.store import RecordStore
+from gorsefork.life.control_connections import ControlConnections
 from gorsefork.life.keeper import PlanKeeper
 from gorsefork.life.plan_records import record_of
 from gorsefork.life.record_intake import RecordIntake
@@ -25,7 +26,6 @@
 from gorsefork.wire.services.feeds import FeedReader
 from gorsefork.wire.services.fleet_link import ControlPeer
 from gorsefork.wire.services.peers import Peers
-from gorsefork.wire.services.survey import LIMITS as SURVEY_LIMITS
 from gorsefork.wire.services.survey import Member, Question, in_force
 
 MOST_NAMED = 20  # peers in one log line or status
@@ -45,7 +45,9 @@
         clock: Clock,
         log: Log,
         seed: int,
+        connections: ControlConnections,
     ) -> None:
+        self.connections = connections
         self.name, self.authorization, self.store, self.keeper = name, authorization, store, keeper
         self.clock, self.log = clock, log
         self.fixed = [Peer(address, address, "") for address in dict.fromkeys(fixed)]
@@ -58,13 +60,14 @@
             store,
             self.intake.judged,
             random.Random(f"{seed}{clock.unix_us()}"),
+            Tempo(in_flight=connections.requests),
             life=clock.unix_us(),
             install=self.install,
         )
         self.feeds = FeedReader(
             authorization, clock, seed, keeper.learn, self.feed_reported, peer_headers(name)
         )
-        transport = Transport(name, authorization)
+        transport = Transport(name, authorization, connections.requests, connections.kept)
         self.peers = Peers(transport, self.replicator, self.intake, self.feeds, clock, log)
         keeper.published = self.publish
         self.see(())
@@ -159,7 +162,7 @@
             place = place_of(record_of(change))
         own = msgspec.structs.replace(self.statement(), held=[] if place is None else [True])
         question = Question(own, place, number)
-        transport = Transport(self.name, self.authorization, SURVEY_LIMITS)
+        transport = Transport(self.name, self.authorization, self.connections.survey, most_kept=0)
         try:
             return await in_force(transport, self.members(), question)
         finally:
@@ -171,10 +174,11 @@
         return said
 
     def members(self) -> list[Member]:
-        """All other members whose lives go on, seen or not, and the peers of the file."""
+        """All other members whose lives go on, and the peers of the file. Who is not seen comes last."""
         addresses = {each.address for each in self.view}
         fixed = [Member(peer.name, peer.address) for peer in self.fixed if peer.address not in addresses]
-        return [*(Member(each.name, each.address) for each in self.view), *fixed]
+        view = sorted(self.view, key=lambda each: not each.seen)
+        return [*fixed, *(Member(each.name, each.address) for each in view)]
 
 
 def shown(version: Version) -> str | None:
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -200,7 +200,8 @@
     def most_clients(self, sockets: int) -> int:
         """Guards against a crowd of clients that leaves no descriptor for operators, counter or discovery."""
         rest = 1.0 - BACKEND_SHARE - (SECOND_SHARE if self.second else 0.0)
-        return max(4, min(int(sockets * CLIENT_SHARE), int(sockets * rest) - OTHERS))
+        others = OTHERS + (self.extra.connections.descriptors if self.extra is not None else 0)
+        return max(4, min(int(sockets * CLIENT_SHARE), int(sockets * rest) - others))
 
     def share_limits(self, shared: bool) -> None:
         """While two processes are this ingress, each may hold half of its connections."""
--- a/gorsefork/wire/fronts/configuration_calls.py
+++ b/gorsefork/wire/fronts/configuration_calls.py
@@ -22,8 +22,7 @@
 from gorsefork.plans.changes import Refused
 from gorsefork.wire.fronts.control_request import MSGPACK, ControlRequest, Routes, refuse_query
 
-MOST_EXCHANGES = 16  # answered at a time; a peer beyond that is told to ask another, or later
-MOST_SURVEYS = 2  # of the whole fleet, at a time
+MOST_SURVEYS = 1  # of the whole fleet, at a time
 MOST_PEER_NAME = 64
 EXCHANGE = ("POST", "configuration/exchange")
 
@@ -37,15 +36,20 @@
 
 
 class ConfigurationCalls:
-    """``status`` tells what is held here, ``survey`` asks the fleet about a number (``Refused``)."""
+    """``status`` tells what is held here, ``survey`` asks the fleet about a number (``Refused``).
+
+    ``most_exchanges``: answered at a time; a peer beyond that is told to ask another, or later.
+    """
 
     def __init__(
         self,
         answer: Answer,
         status: Callable[[], dict[str, Any]],
         survey: Callable[[str], Awaitable[dict[str, Any]]],
+        most_exchanges: int,
     ) -> None:
         self.answer_peer, self.tell_status, self.survey = answer, status, survey
+        self.most_exchanges = most_exchanges
         self.exchanges = self.surveys = 0
         self.routes: Routes = {
             EXCHANGE: self.exchange,
@@ -59,8 +63,8 @@
         refuse_query(request)
         if not 0 < len(request.peer) <= MOST_PEER_NAME:
             raise Refused(f"Gorsefork-Peer: must name the peer, in {MOST_PEER_NAME} characters at most", 400)
-        if self.exchanges >= MOST_EXCHANGES:
-            raise Refused(f"{MOST_EXCHANGES} exchanges are being answered: ask another peer", 503)
+        if self.exchanges >= self.most_exchanges:
+            raise Refused(f"{self.most_exchanges} exchanges are being answered: ask another peer", 503)
         try:
             messages = decode(request.body)
         except MessageError as error:
@@ -78,7 +82,7 @@
     async def in_force(self, request: ControlRequest) -> Any:
         query = msgspec.convert(request.query, InForceQuery)
         if self.surveys >= MOST_SURVEYS:
-            raise Refused(f"{MOST_SURVEYS} questions to the whole fleet are under way: ask again", 503)
+            raise Refused("a question to the whole fleet is under way: ask again", 503)
         self.surveys += 1
         try:
             return await self.survey(query.number)
--- a/gorsefork/wire/fronts/plan_calls.py
+++ b/gorsefork/wire/fronts/plan_calls.py
@@ -20,7 +20,6 @@
 from gorsefork.plans.spreading import Page
 from gorsefork.wire.fronts.control_request import MSGPACK, ControlRequest, Routes, refuse_query
 
-MOST_WAITING = 32  # questions of old peers that may stand open at once; more are answered at once
 LONGEST_WAIT_MS = 20_000
 MOST_ROWS = 500
 MOST_KEY = 128  # characters of an Idempotency-Key
@@ -86,10 +85,11 @@
 
 
 class PlanCalls:
-    """``now``: microseconds of Unix time."""
+    """``now``: microseconds of Unix time. ``most_waiting``: questions of peers of the previous version that
+    may stand open at once; more are answered at once."""
 
-    def __init__(self, keeper: Keeper, now: Callable[[], int]) -> None:
-        self.keeper, self.now = keeper, now
+    def __init__(self, keeper: Keeper, now: Callable[[], int], most_waiting: int) -> None:
+        self.keeper, self.now, self.most_waiting = keeper, now, most_waiting
         self.waiting = 0
         self.routes: Routes = {
             ("GET", "plans"): self.plans,
@@ -175,7 +175,7 @@
 
     async def feed(self, request: ControlRequest) -> Any:
         feed = msgspec.convert(request.query, Feed, strict=False)
-        wait = feed.wait_ms / 1000 if self.waiting < MOST_WAITING else 0.0
+        wait = feed.wait_ms / 1000 if self.waiting < self.most_waiting else 0.0
         self.waiting += 1
         try:
             page = await self.keeper.page(feed.life, feed.after, wait)
--- a/gorsefork/wire/services/exchange.py
+++ b/gorsefork/wire/services/exchange.py
@@ -12,7 +12,6 @@
 EXCHANGE = "/v1/configuration/exchange"
 MEDIA = "application/msgpack"
 PEER_HEADER = "Gorsefork-Peer"
-LIMITS = PoolLimits(most_kept=8, most_at_once=16, most_body=MOST_MESSAGE_BYTES)
 
 
 class OldVersion(Exception):
@@ -29,10 +28,11 @@
 
 
 class Transport:
-    """Requests in the name of this ingress, over a bounded number of connections."""
+    """Requests in the name of this ingress, so many at once, over connections of which some are kept."""
 
-    def __init__(self, name: str, authorization: str, limits: PoolLimits = LIMITS) -> None:
+    def __init__(self, name: str, authorization: str, most_at_once: int = 16, most_kept: int = 8) -> None:
         self.headers = peer_headers(name)
+        limits = PoolLimits(most_kept, most_at_once, MOST_MESSAGE_BYTES)
         self.pool = ClientPool(authorization, limits)
 
     async def exchange(self, address: str, messages: Sequence[AnyMessage], within: float) -> list[AnyMessage]:
--- a/gorsefork/wire/services/peers.py
+++ b/gorsefork/wire/services/peers.py
@@ -86,6 +86,7 @@
         self.agreed = trio.Event()  # this ingress once held what a peer holds
         self.nursery: trio.Nursery | None = None
         self.installing = False  # a snapshot: nothing is asked for meanwhile
+        self.catching_up = False
 
     def set_peers(self, peers: Iterable[Peer]) -> None:
         """Speak with these and no others."""
@@ -145,17 +146,25 @@
 
     async def catch_up(self) -> None:
         """Until this ingress once held what a peer holds, or each peer was asked in vain. Not bounded."""
-        while not self.agreed.is_set():
-            if self.states and all(state.problem for state in self.states.values()):
-                return
-            await self.answered.wait()
+        self.catching_up = True
+        try:
+            self.hurry()
+            self.wake()
+            while not self.agreed.is_set() and not self.all_failed():
+                await self.answered.wait()
+        finally:
+            self.catching_up = False
+
+    def all_failed(self) -> bool:
+        return bool(self.states) and all(state.problem for state in self.states.values())
 
     def hurry(self) -> None:
-        """Guards against an ingress that waits to be ready: once a comparison has ended, the next one, which
-        confirms it, follows at once."""
+        """Guards against an ingress that waits to be ready for its turn to compare: the comparison that
+        confirms the last one follows it soon."""
         replicator = self.replicator
-        if not self.agreed.is_set() and replicator.comparison is None and replicator.download is None:
-            replicator.compare_at = min(replicator.compare_at, self.clock.now)
+        if self.catching_up and replicator.comparison is None and replicator.download is None:
+            soon = self.clock.now + replicator.tempo.compare_again
+            replicator.compare_at = min(replicator.compare_at, soon)
 
     def begin_install(self, snapshot: Snapshot) -> None:
         """Take a snapshot in. Nothing is asked for until that is done, or it would be asked for again."""
--- a/gorsefork/wire/services/survey.py
+++ b/gorsefork/wire/services/survey.py
@@ -10,14 +10,11 @@
 import trio
 
 from gorsefork.configuration.in_force import digest_in_force, record_in_force
-from gorsefork.configuration.messages import MOST_MESSAGE_BYTES, Place, Statement, StatementWanted
-from gorsefork.wire.http1.client_pool import PoolLimits
+from gorsefork.configuration.messages import Place, Statement, StatementWanted
 from gorsefork.wire.services.exchange import ExchangeFailed, OldVersion, Transport
 
-SURVEY_WITHIN = 4.0  # s for all; whoever has not answered by then counts as silent
+SURVEY_WITHIN = 5.0  # s for all; whoever has not answered by then counts as silent
 ANSWER_WITHIN = 2.0  # s for one
-# Connections of its own, so that replication does not wait for a survey; none is kept.
-LIMITS = PoolLimits(most_kept=0, most_at_once=16, most_body=MOST_MESSAGE_BYTES)
 UNKNOWN_DIGEST = bytes(8)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,6 +19,7 @@
 
 from gorsefork.cli.control import SECOND, When
 from gorsefork.cli.main import cli, load
+from gorsefork.cli.plans import peers_summary
 from gorsefork.usage.records import Batch, Use
 
 load()
@@ -224,3 +225,11 @@
     path.write_text("[control]\nlisten = 1\n[paint]\n")
     bad = CliRunner().invoke(cli, ["config", "operator", str(path)])
     assert bad.exit_code == 2 and "control.listen: " in bad.stderr and "paint: is not known" in bad.stderr
+
+
+def test_a_table_names_few_peers_in_full_and_of_many_those_that_are_not_current() -> None:
+    few = [{"peer": "n1", "state": "current"}, {"fellow": "10.0.0.2:8090", "state": "unheard"}]
+    assert peers_summary(few) == "n1 current, 10.0.0.2:8090 unheard"
+    many = [{"peer": f"n{n}", "state": "stale" if n < 2 else "current"} for n in range(20)]
+    assert peers_summary(many) == "18 of 20 current; n0 stale; n1 stale"
+    assert peers_summary([]) == "-"
