Look at the fleet's view twice a second at most, and say how many records an ingress lacks

Need: a fleet that starts at once changes its view hundreds of times, and each change had all members listed anew. plan.behind did not say how much is missing.

Change: a change of the view marks it; one task looks, at most each half second. plan.behind has lacking, against the most records that a peer told of. One exchange has 2 s, as the replicator's design asks.

--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -154,6 +154,7 @@
                 self.log,
                 self.fleet_changed,
             )
+            self.replication.follow(self.link.control_peers)
             if self.given.control is not None:
                 from gorsefork.wire.fronts.fleet_calls import FleetCalls
 
@@ -161,8 +162,7 @@
 
     def fleet_changed(self) -> None:
         """Those that the view sees are peers; the file's stay, as the way to them."""
-        if self.link is not None:
-            self.replication.see(self.link.control_peers())
+        self.replication.view_changed()
 
     def record_use(self, most_waiting: int, settings: i.Settings) -> None:
         given = self.given.usage
--- a/gorsefork/life/replication.py
+++ b/gorsefork/life/replication.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import msgspec
@@ -28,6 +28,7 @@
 from gorsefork.wire.services.peers import Peers
 from gorsefork.wire.services.survey import Member, Question, in_force
 
+LOOK_EVERY = 0.5  # s at the least between two looks at the fleet's view
 MOST_NAMED = 20  # peers in one log line or status
 
 
@@ -52,6 +53,8 @@
         self.clock, self.log = clock, log
         self.fixed = [Peer(address, address, "") for address in dict.fromkeys(fixed)]
         self.view: list[ControlPeer] = []
+        self.look: Callable[[], Sequence[ControlPeer]] = tuple
+        self.to_look = trio.Event()
         self.restored = len(store), store.newest
         self.intake = RecordIntake(store, keeper.take_records)
         self.replicator = Replicator(
@@ -81,6 +84,22 @@
     def install(self, snapshot: Snapshot) -> None:
         self.peers.begin_install(snapshot)
 
+    def follow(self, look: Callable[[], Sequence[ControlPeer]]) -> None:
+        """``look`` tells the other members of the fleet's view; it is asked after ``view_changed``."""
+        self.look = look
+
+    def view_changed(self) -> None:
+        self.to_look.set()
+
+    async def follow_view(self) -> None:
+        """Guards against a large fleet that starts at once: a look at each member for each of its changes
+        would cost the square of its size."""
+        while True:
+            await self.to_look.wait()
+            self.to_look = trio.Event()
+            self.see(self.look())
+            await trio.sleep(LOOK_EVERY)
+
     def see(self, view: Iterable[ControlPeer]) -> None:
         """The other members of the fleet's view. Replication speaks with those that are taken for living."""
         self.view = list(view)
@@ -99,7 +118,9 @@
                 newest=shown(newest),
                 age_s=round(age, 3),
             )
-        await self.peers.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follow_view)
+            await self.peers.run()
 
     async def catch_up(self, within: float) -> None:
         """Until this ingress holds what a peer holds, ``within`` s at the most; else say that it may not."""
@@ -114,6 +135,7 @@
             event="plan.behind",
             unheard=unheard[:MOST_NAMED],
             unheard_count=len(unheard),
+            lacking=max(0, self.peers.most_records - len(self.store)),
             newest=newest.stamp,
             records=len(self.store),
         )
--- a/gorsefork/wire/services/peers.py
+++ b/gorsefork/wire/services/peers.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from gorsefork.configuration.messages import AnyMessage, Same
+from gorsefork.configuration.messages import AnyMessage, Same, Summary
 from gorsefork.configuration.peer_set import Peer
 from gorsefork.configuration.records import Record
 from gorsefork.configuration.replication import Replicator, Request
@@ -25,7 +25,7 @@
 from gorsefork.wire.services.exchange import ExchangeFailed, OldVersion, Transport
 from gorsefork.wire.services.feeds import FeedReader
 
-ANSWER_WITHIN = 3.0  # s for one exchange, its connection included
+ANSWER_WITHIN = 2.0  # s for one exchange, its connection included
 OLD_VERSION_FOR = 60 * SECOND  # us until a peer that does not know the exchange is tried again
 STALE_AFTER = 30 * SECOND  # us without a word
 
@@ -87,6 +87,7 @@
         self.nursery: trio.Nursery | None = None
         self.installing = False  # a snapshot: nothing is asked for meanwhile
         self.catching_up = False
+        self.most_records = 0  # that any peer said it holds
 
     def set_peers(self, peers: Iterable[Peer]) -> None:
         """Speak with these and no others."""
@@ -224,9 +225,12 @@
         self.wake()
 
     def note_agreement(self, state: PeerState, messages: Sequence[AnyMessage]) -> None:
-        if any(isinstance(message, Same) for message in messages):
-            state.agreed = self.replicator.store.digest()
-            self.agreed.set()
+        for message in messages:
+            if isinstance(message, Same):
+                state.agreed = self.replicator.store.digest()
+                self.agreed.set()
+            elif isinstance(message, Summary):
+                self.most_records = max(self.most_records, message.count)
 
     def found_old(self, state: PeerState) -> None:
         if self.states.get(state.peer.name) is not state:
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -42,6 +42,7 @@
 from gorsefork.wire.services import survey as survey_module
 from gorsefork.wire.services.exchange import MEDIA, Transport, peer_headers
 from gorsefork.wire.services.feeds import FeedReader
+from gorsefork.wire.services.fleet_link import ControlPeer
 from gorsefork.wire.services.peers import Peers
 from gorsefork.wire.services.survey import Member, Question
 
@@ -441,6 +442,10 @@
                 while replicator.figures.comparisons == comparisons:
                     await peers.answered.wait()
             assert replicator.figures.comparisons == comparisons  # it asks for nothing meanwhile
+            behind: list[dict[str, object]] = []
+            second.replication.log = lambda text, /, *, event, **fields: behind.append(fields)
+            await second.replication.catch_up(0.01)
+            assert behind[0]["lacking"] == 2100 and behind[0]["unheard"] == []
             gate.set()
             with trio.fail_after(10):
                 await peers.catch_up()
@@ -484,6 +489,28 @@
 
         scenario("", ingresses=3, operator=CONTROL, apart=True, then=main)
 
+    def test_a_view_that_changes_all_the_time_is_looked_at_now_and_then(self) -> None:
+        async def main(world: World) -> None:
+            replication, looked = extra_of(world).replication, trio.Event()
+            looks = 0
+
+            def look() -> list[ControlPeer]:
+                nonlocal looks
+                looks += 1
+                looked.set()
+                return [ControlPeer("n1", "127.0.0.1:9", "a", True), ControlPeer("n2", "", "a", True)]
+
+            replication.follow(look)
+            with trio.fail_after(3):
+                for _ in range(100):
+                    replication.view_changed()
+                    await trio.lowlevel.checkpoint()
+                await looked.wait()
+            assert looks <= 2 and list(replication.peers.states) == ["n1"]  # the other has no listener
+            assert [member.name for member in replication.members()] == ["n1", "n2"]
+
+        scenario("", operator=CONTROL, then=main)
+
     def test_a_refusal_is_remembered_for_the_replicator(self) -> None:
         async def main() -> None:
             store = RecordStore()
