--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -65,6 +65,7 @@
         print(f"Their logs are in {folder}. In a second terminal:\n")
         print(f"    {tool} status {control} --control 127.0.0.1:{FIRST_CONTROL + 1}")
         print(f"    {tool} watch {control} &\n    kill -9 {running[2].pid}\n")
+        print(f"    python -m gorsefork configuration in-force {control}\n")
         print("n2 is suspect within some 6 s, and unreachable once nobody contradicts. Ctrl-C ends all.")
         sys.stdout.flush()
         try:
