--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -32,7 +32,7 @@
             first = await rig.start("n0", seeds=())
             others = await rig.started("n1", "n2", "n3", "n4")
             await rig.settled(first, *others)
-            # The plan book's fellows come from the view: none is named in any file.
+            # The plan book's peers come from the view: none is named in any file.
             wanted = {
                 "act": {"do": "set", "customer": "00000000b4d65521", "plan": "large", "effective": 1},
                 "author": "ana",
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -193,7 +193,7 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock())
-    for _ in range(3):  # nobody sends them: what finds no place is lost, and no fellow takes another's
+    for _ in range(3):  # nobody sends them: what finds no place is lost, and no peer takes another's
         for peer in range(-1, FLEET + 1):
             for _ in range(50):
                 sock.tell(peer, b"note")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""The counter, discovery and the fellow ingresses: silent, slow, garbled."""
+"""The counter, discovery and the peers: silent, slow, garbled."""
 
 from __future__ import annotations
 
@@ -218,31 +218,31 @@
         scenario("", then=then)
 
 
-class Fellows(unittest.TestCase):
-    def test_only_fellows_are_heard_and_long_messages_neither_sent_nor_taken(self) -> None:
+class Peers(unittest.TestCase):
+    def test_only_peers_are_heard_and_long_messages_neither_sent_nor_taken(self) -> None:
         async def main() -> None:
             send, get = trio.open_memory_channel[PeerMessage](10)
             socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
             for sock in socks:
                 sock.bind(("127.0.0.1", 0))
-            fellow, stranger, held = socks
+            other, stranger, held = socks
             mine = f"127.0.0.1:{held.getsockname()[1]}"
             held.close()
-            peers = [mine, f"127.0.0.1:{fellow.getsockname()[1]}"]
+            peers = [mine, f"127.0.0.1:{other.getsockname()[1]}"]
             peer = PeerSocket(mine, peers, "", 0, send.send_nowait)
             with trio.fail_after(5):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(peer.run)
                     stranger.sendto(b"no", peer.sock.getsockname())
-                    fellow.sendto(b"x" * 257, peer.sock.getsockname())
-                    fellow.sendto(b"yes", peer.sock.getsockname())
+                    other.sendto(b"x" * 257, peer.sock.getsockname())
+                    other.sendto(b"yes", peer.sock.getsockname())
                     self.assertEqual(await get.receive(), PeerMessage(1, b"yes"))
                     peer.tell(1, b"y" * 257)
                     peer.tell(1, b"z" * 256)
-                    await trio.lowlevel.wait_readable(fellow)
-                    self.assertEqual(len(fellow.recv(1000)), 256)
+                    await trio.lowlevel.wait_readable(other)
+                    self.assertEqual(len(other.recv(1000)), 256)
                     nursery.cancel_scope.cancel()
-            for sock in (fellow, stranger, peer.sock):
+            for sock in (other, stranger, peer.sock):
                 sock.close()
 
         trio.run(main)
