Kill an ingress half-way through what it lacks, in the processes' test, and log a peer that asks first

The rig counts the bytes that go to each place, so that a path is cut at a stated byte; launch starts a process without waiting until it is ready. A peer that was heard by its own question is logged as heard, and changed_s_ago is null where nothing changed yet.

--- a/gorsefork/life/replication.py
+++ b/gorsefork/life/replication.py
@@ -151,7 +151,7 @@
             "bytes": self.store.size,
             "newest": shown(self.store.newest),
             "horizon": self.keeper.book.horizon,
-            "changed_s_ago": round((now - self.replicator.intake.changed_at) / SECOND, 3),
+            "changed_s_ago": seconds_since(self.replicator.intake.changed_at, now),
             "restored": {"records": self.restored[0], "newest": shown(self.restored[1])},
             "caught_up": self.peers.agreed.is_set(),
             "downloading": self.replicator.download is not None or self.peers.installing,
@@ -203,6 +203,11 @@
         return [*fixed, *(Member(each.name, each.address) for each in view)]
 
 
+def seconds_since(at: int, now: int) -> float | None:
+    """``None`` where nothing has happened yet."""
+    return round((now - at) / SECOND, 3) if at else None
+
+
 def shown(version: Version) -> str | None:
     """A version in one word, or nothing where there is none."""
     return f"{version.stamp}@{version.origin}" if version.stamp else None
--- a/gorsefork/wire/services/peers.py
+++ b/gorsefork/wire/services/peers.py
@@ -121,7 +121,7 @@
         self.pass_on(await self.intake.take(messages), peer)
         answer = self.replicator.answer(peer, messages, self.clock.now)
         if (state := self.states.get(peer)) is not None:
-            state.heard_at = self.clock.now
+            self.heard(state)
         self.wake()
         return answer
 
@@ -251,16 +251,21 @@
     def report(self, state: PeerState, problem: str) -> None:
         """Log the first fault of a peer, and that it is heard again."""
         name, address = state.peer.name, state.peer.address
-        if problem and not state.problem:
-            self.log(f"{name}: {problem}", event="peer.unheard", peer=name, address=address, reason=problem)
-        elif not problem and (state.problem or state.heard_at is None):
-            self.log(f"{name} is heard", event="peer.heard", peer=name, address=address)
-        state.problem = problem
+        before, state.problem = state.problem, problem
         if not problem:
-            state.heard_at = self.clock.now
+            self.heard(state, again=bool(before))
+        elif not before:
+            self.log(f"{name}: {problem}", event="peer.unheard", peer=name, address=address, reason=problem)
         answered, self.answered = self.answered, trio.Event()
         answered.set()
 
+    def heard(self, state: PeerState, again: bool = False) -> None:
+        """It has answered, or asked."""
+        if again or state.heard_at is None:
+            name, address = state.peer.name, state.peer.address
+            self.log(f"{name} is heard", event="peer.heard", peer=name, address=address)
+        state.heard_at = self.clock.now
+
     def status(self) -> list[dict[str, Any]]:
         """A row for each peer. ``fellow`` is the address under the key that it had before."""
         now = self.clock.now
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -18,6 +18,7 @@
 import socket
 import subprocess
 import sys
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -116,6 +117,7 @@
         self.all: list[Running] = []
         self.heard = trio.Event()
         self.passed = self.longest = 0
+        self.relayed: Counter[str] = Counter()  # bytes to each place's connections
 
     def door(self, place: str) -> str:
         if place not in self.doors:
@@ -195,11 +197,18 @@
             while data := await source.receive_some():
                 await self.faults.until_passable(sender, receiver)
                 await sink.send_all(data)
+                self.relayed[receiver] += len(data)
         except trio.BrokenResourceError:
             pass  # either side has broken it off, and so this relay does
         scope.cancel()
 
-    async def start(
+    async def start(self, name: str, **given: Any) -> Running:
+        """A process that is ready; as ``launch`` has it."""
+        running = await self.launch(name, **given)
+        await self.event(running, "ingress.ready")
+        return running
+
+    async def launch(
         self,
         name: str,
         seeds: Iterable[str] = ("n0",),
@@ -242,7 +251,6 @@
         self.all.append(running)
         self.now[place] = running
         self.nursery.start_soon(self.read, running)
-        await self.event(running, "ingress.ready")
         return running
 
     async def started(self, *names: str, **given: Any) -> list[Running]:
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -16,9 +16,14 @@
 from old_version_standin import old_version
 
 from gorsefork.cli import main as cli_main
+from gorsefork.configuration.messages import MOST_BATCH, as_records, encode
+from gorsefork.life.plan_records import record_of
 from gorsefork.plans.changes import Change, SetPlan
+from gorsefork.wire.http1.client import HttpClient
+from gorsefork.wire.services.exchange import EXCHANGE, MEDIA, peer_headers
 
 CUSTOMER, OTHER = "00000000b4d65521", "00000000b4d65522"
+MANY, HALF = 2_500, 70_000  # changes that are a snapshot's worth, and bytes of about a half of them
 AGREED_WITHIN = 7.0  # s; the same bound as for a change in a fleet without faults
 
 
@@ -36,6 +41,22 @@
     return str(made["number"])
 
 
+async def load(at: Running, count: int) -> None:
+    """So many changes, as a peer would bring them."""
+    now, client = time.time_ns() // 1000, HttpClient(at.control)
+    changes = [Change(now + n, "n9", SetPlan(f"{n:016x}", "plain", 1), "zoe") for n in range(count)]
+    for start in range(0, count, MOST_BATCH):
+        records = [record_of(each) for each in changes[start : start + MOST_BATCH]]
+        body = encode([as_records(records, 0)])
+        answer = await client.ask("POST", EXCHANGE, body, MEDIA, 5.0, peer_headers("n9"))
+        assert answer.status == 200, answer
+    client.close()
+
+
+async def half_of_it(rig: Rig) -> bool:
+    return rig.relayed["n2"] > HALF
+
+
 async def holds(rig: Rig, at: Running, number: str) -> bool:
     return "act" in await rig.ask(at, "GET", f"/v1/changes/{number}")
 
@@ -88,11 +109,21 @@
             assert await holds(rig, third, missed)  # it was ready only then
             await rig.one_digest(first, second, third, within=AGREED_WITHIN)
 
-            # With no disk it has all before it is ready.
+            # With no disk, and much to take, it is cut off half-way and killed.
             await rig.kill(third)
             shutil.rmtree(tmp_path / "n2" / "state")
-            third = await rig.start("n2", state=True, zone="b", catch_up_ms=5000)
-            assert (await rig.ask(third, "GET", "/v1/configuration/status"))["records"] == 3
+            await load(first, MANY)
+            rig.relayed.clear()
+            rig.faults.cut = lambda one, other: rig.relayed["n2"] > HALF if other == "n2" else False
+            torn = await rig.launch("n2", state=True, zone="b", catch_up_ms=60_000)
+            await rig.until(lambda: half_of_it(rig))
+            assert (await rig.ask(torn, "GET", "/v1/configuration/status"))["records"] < 3 + MANY
+            await rig.kill(torn)
+            rig.faults.cut = whole
+            # Begun anew it has all before it is ready.
+            third = await rig.start("n2", state=True, zone="b", catch_up_ms=10_000)
+            status = await rig.ask(third, "GET", "/v1/configuration/status")
+            assert status["records"] == 3 + MANY
             assert not any(e["event"] == "plan.behind" for e in third.events)
 
             # One that was stopped meanwhile catches up by itself.
