Go on reading an old peer's feed from where it was read, when it is tried as a new one

Each minute a peer of the previous version is asked the new way again; the position in its feed was lost by that, and it sent its whole book again. It is told of once.

--- a/gorsefork/life/control_connections.py
+++ b/gorsefork/life/control_connections.py
@@ -9,7 +9,7 @@
 MOST_KEPT, KEPT_SHARE = 8, 64
 MOST_SURVEY, SURVEY_SHARE = 32, 16
 LEAST = 4  # of each
-SOCKETS_AND_FILES = 4  # the view's socket, the state folder's files
+OTHERS = 8  # to peers of the previous version, the view's socket, the state folder's files
 
 
 class ControlConnections(NamedTuple):
@@ -23,7 +23,7 @@
     @property
     def descriptors(self) -> int:
         """All that control holds at the most."""
-        return sum(self) + SOCKETS_AND_FILES
+        return sum(self) + OTHERS
 
 
 def control_connections(sockets: int) -> ControlConnections:
--- a/gorsefork/wire/services/peers.py
+++ b/gorsefork/wire/services/peers.py
@@ -28,7 +28,6 @@
 ANSWER_WITHIN = 2.0  # s for one exchange, its connection included
 OLD_VERSION_FOR = 60 * SECOND  # us until a peer that does not know the exchange is tried again
 STALE_AFTER = 30 * SECOND  # us without a word
-
 MOST_PASSED_ON = 256  # records of one message that are news to others too
 
 State = Literal["current", "stale", "unheard"]
@@ -42,6 +41,7 @@
     heard_at: int | None = None
     problem: str = ""
     old_until: int = 0
+    old_told: bool = False
     agreed: bytes = b""  # the digest that it and this ingress had in common last
 
     def state(self, now: int) -> State:
@@ -98,7 +98,7 @@
             same = known is not None and known.peer.address == peer.address
             self.states[peer.name] = known if known is not None and same else PeerState(peer)
             self.states[peer.name].peer = peer
-        addresses = {state.peer.address for state in self.states.values() if state.old_until}
+        addresses = {state.peer.address for state in self.states.values()}
         for address in set(self.feeds.followers) - addresses:
             self.feeds.remove(address)
         self.tell_replicator()
@@ -196,10 +196,10 @@
         await trio.lowlevel.checkpoint()  # the clock is read anew
 
     def retry_old_versions(self) -> None:
+        """Ask them as new ones again. Their feeds are read on meanwhile, from where they were read to."""
         due = [s for s in self.states.values() if s.old_until and s.old_until <= self.clock.now]
         for state in due:
             state.old_until = 0
-            self.feeds.remove(state.peer.address)
         if due:
             self.tell_replicator()
 
@@ -221,6 +221,7 @@
             self.replicator.answered(request.peer, messages, self.clock.now)
             self.note_agreement(state, messages)
             self.hurry()
+            self.feeds.remove(state.peer.address)
             self.report(state, "")
         self.wake()
 
@@ -235,7 +236,10 @@
     def found_old(self, state: PeerState) -> None:
         if self.states.get(state.peer.name) is not state:
             return
-        self.log(f"{state.peer.name} is of an older version", event="peer.old_version", peer=state.peer.name)
+        if not state.old_told:
+            name = state.peer.name
+            self.log(f"{name} is of an older version", event="peer.old_version", peer=name)
+        state.old_told = True
         state.old_until = self.clock.now + OLD_VERSION_FOR
         self.feeds.add(state.peer.address)
         self.tell_replicator()
@@ -243,7 +247,7 @@
     def feed_reported(self, address: str, problem: str) -> None:
         """What became of a question to a peer of the previous version."""
         for state in self.states.values():
-            if state.old_until and state.peer.address == address:
+            if state.old_told and state.peer.address == address:
                 self.report(state, problem)
                 if not problem:
                     self.agreed.set()
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -382,7 +382,11 @@
                     service.peers.set_peers([Peer("n1", addresses[0], "")])
                     nursery.start_soon(service.peers.run)
                     await service.until(lambda: "n1" in service.told("peer.old_version"))
-                    assert list(service.peers.feeds.followers) == [addresses[0]]
+                    follower = service.peers.feeds.followers[addresses[0]]
+                    figures = service.replicator.figures
+                    await service.until(lambda: figures.comparisons >= 3)  # it was tried again
+                    assert service.peers.feeds.followers[addresses[0]] is follower  # and is read on
+                    assert service.told("peer.old_version") == ["n1"]
                     server.answer = http(SAME)  # it was replaced by a newer one
                     await service.until(lambda: "n1" in service.told("peer.heard"))
                     assert not service.peers.feeds.followers
