--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -12,10 +12,12 @@
 from gorsefork.configuration.store import RecordStore
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import Config
+from gorsefork.life.control_connections import control_connections
 from gorsefork.life.keeper import NoStorage, PlanKeeper, RecordStorage
 from gorsefork.life.logs import Logs
 from gorsefork.life.operator import Operator, secret
 from gorsefork.life.plan_records import PlanRecords, load_book
+from gorsefork.life.replication import Replication
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.deciding import Decider
 from gorsefork.plans.book import Book
@@ -28,14 +30,14 @@
 from gorsefork.usage.records import MILLION
 from gorsefork.usage.store import Unkept, UseStore, VolatileStore
 from gorsefork.wire.acceptor import Acceptor
+from gorsefork.wire.fronts.configuration_calls import ConfigurationCalls
 from gorsefork.wire.fronts.control import ControlFront
+from gorsefork.wire.fronts.plan_calls import PlanCalls
 from gorsefork.wire.services.accounts import AccountsAt, Exporter
-from gorsefork.wire.services.fellows import STALE_AFTER, Fellows
 
 if TYPE_CHECKING:
     from gorsefork.wire.services.fleet_link import FleetLink
 
-MOST_CONTROL = 64  # connections to the control listener
 LAST_EXPORT = 1.0  # s at the end for what the accounts have not acknowledged
 
 
@@ -89,6 +91,7 @@
         self.acceptor: Acceptor | None = None
         self.link: FleetLink | None = None
         self.exporting = trio.CancelScope()
+        self.connections = control_connections(config.sockets)
         self.began = clock.now
 
     def attach(self, decider: Decider, ready: Callable[[], bool]) -> None:
@@ -106,21 +109,34 @@
             self.log,
         )
         decider.terms = self.contracts
-        self.fellows = Fellows(
+        self.replication = Replication(
+            self.config.name,
+            self.given.fleet.zone if self.given.fleet else "",
             self.given.control.peers if self.given.control else (),
             self.bearer(self.key),
+            self.records,
+            self.keeper,
             self.clock,
-            self.config.seed,
-            self.keeper.learn,
             self.log,
+            self.config.seed,
+            self.connections,
         )
         if self.given.usage is not None:
             self.record_use(self.given.usage.most_waiting, settings)
         if self.given.control is not None:
-            front = ControlFront(
-                self.keeper, self.key, self.clock.unix_us, self.status, self.usage, self.export
+            front = ControlFront(self.key, self.status, self.usage, self.export)
+            self.plan_calls = PlanCalls(self.keeper, self.clock.unix_us, self.connections.listener // 2)
+            front.routes.update(self.plan_calls.routes)
+            replication = self.replication
+            self.configuration_calls = ConfigurationCalls(
+                replication.peers.answer,
+                replication.status,
+                replication.in_force,
+                self.connections.listener // 4,
             )
-            self.acceptor = Acceptor(self.given.control.listen, front, self.clock, MOST_CONTROL)
+            front.routes.update(self.configuration_calls.routes)
+            front.most_body.update(self.configuration_calls.most_body)
+            self.acceptor = Acceptor(self.given.control.listen, front, self.clock, self.connections.listener)
             front.start = self.acceptor.start
         if (fleet := self.given.fleet) is not None:
             from gorsefork.life.fleet import fleet_link
@@ -133,19 +149,20 @@
                 self.config.seed,
                 folder,
                 control,
+                (self.given.control.advertise or "") if self.given.control else "",
                 self.clock,
                 self.log,
                 self.fleet_changed,
             )
+            self.replication.follow(self.link.control_peers)
             if self.given.control is not None:
                 from gorsefork.wire.fronts.fleet_calls import FleetCalls
 
                 front.routes.update(FleetCalls(self.link).routes)
 
     def fleet_changed(self) -> None:
-        """The book's fellows are those that the view sees; the file's stay, as the way to them."""
-        if self.link is not None:
-            self.fellows.want(self.link.controls())
+        """Those that the view sees are peers; the file's stay, as the way to them."""
+        self.replication.view_changed()
 
     def record_use(self, most_waiting: int, settings: i.Settings) -> None:
         given = self.given.usage
@@ -192,12 +209,14 @@
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.keeper.run)
-            nursery.start_soon(self.fellows.run)
+            nursery.start_soon(self.replication.run)
             if self.recorder is not None:
                 nursery.start_soon(self.recorder.run)
             if self.exporter is not None:
                 nursery.start_soon(self.export_until_the_end, self.exporter)
             if self.acceptor is not None:
+                where = self.acceptor.where
+                self.log(f"control listener on {where}", event="control.begun", listen=where)
                 nursery.start_soon(self.acceptor.run)
             if self.link is not None:
                 nursery.start_soon(self.link.run)
@@ -207,20 +226,10 @@
             await exporter.run()
 
     async def catch_up(self) -> None:
-        """Before this ingress is ready: what fellows have that it missed, or say that it may lack some."""
-        if self.given.control is None or not self.fellows.followers:
-            return
-        with trio.move_on_after(self.given.control.catch_up_ms / 1000):
-            await self.fellows.asked.wait()
-        unheard = [each.dial for each in self.fellows.followers if each.heard_at is None]
-        newest = self.keeper.book.newest.stamp if self.keeper.book.newest else 0
-        if unheard:
-            self.log(
-                f"not all fellows were heard; the newest change here is of {newest}",
-                event="plan.behind",
-                unheard=unheard,
-                newest=newest,
-            )
+        """Before this ingress is ready: what peers have that it missed, or say that it may lack some."""
+        expects_peers = bool(self.replication.peers.states) or (self.link is not None and self.link.seeded)
+        if self.given.control is not None and expects_peers:
+            await self.replication.catch_up(self.given.control.catch_up_ms / 1000)
 
     async def finish(self) -> None:
         """The end of a drain: goodbye to the fleet, and this life's last number is told, if the accounts
@@ -257,16 +266,7 @@
 
     def status(self) -> dict[str, Any]:
         now, book = self.clock.now, self.keeper.book
-        followers = [
-            {
-                "fellow": each.dial,
-                "state": each.state(now, STALE_AFTER),
-                "problem": each.problem,
-                "heard_s_ago": None if each.heard_at is None else round((now - each.heard_at) / SECOND, 3),
-                "same_book": each.heard_at is not None and each.digest == book.digest(),
-            }
-            for each in self.fellows.followers
-        ]
+        peers = self.replication.peers.status()
         return {
             "ingress": self.config.name,
             "life": str(self.shelf.store.life),
@@ -278,7 +278,8 @@
                 "newest": str(book.newest) if book.newest else None,
                 "kept_on_disk": self.database is not None,
             },
-            "fellows": followers,
+            "peers": peers,
+            "fellows": peers,  # the key by which the previous version told them
             "usage": self.usage(),
             "fleet": self.link.status() if self.link is not None else None,
         }
