--- a/tests/test_configuration_messages.py
+++ b/tests/test_configuration_messages.py
@@ -80,7 +80,7 @@
 
     def test_a_body_is_bounded_both_ways(self) -> None:
         with self.assertRaises(MessageError):
-            decode(bytes(MOST_MESSAGE_BYTES + 1))
+            decode(packed([["same"], ["of-later", bytes(MOST_MESSAGE_BYTES)]]))
         with self.assertRaises(MessageError):
             encode([Piece(bytes(16), bytes(MOST_MESSAGE_BYTES))])
 
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -11,10 +11,10 @@
 
 from gorsefork.configuration.in_force import digest_in_force, digests, record_in_force
 from gorsefork.configuration.intake import place_of
-from gorsefork.configuration.messages import Statement, StatementWanted
+from gorsefork.configuration.messages import Records, RecordsWanted, Statement, StatementWanted
 from gorsefork.configuration.peer_set import Peer, PeerSet
 from gorsefork.configuration.records import Record, RecordRefused, Refusal
-from gorsefork.configuration.replication import MOST_FRESH, Tempo
+from gorsefork.configuration.replication import MOST_FRESH, Job, Purpose, Tempo
 from gorsefork.configuration.store import Limits
 from gorsefork.configuration.withheld import MOST_WITHHELD, WithheldRecords
 
@@ -97,6 +97,8 @@
         self.assertEqual(len(world.members["n9"].store), 800)
         cost = (sum(member.bytes for member in world.up()) - before) / 20
         self.assertLess(cost, 500 * 115 * 2 * 6, "less than six whole copies to each and from each")
+        again = sum(member.replicator.intake.figures.repeated for member in world.up())
+        self.assertLess(again, 0.45 * 500 * 20, "what is offered is asked for once")
 
     def test_a_change_reversed_before_it_arrived(self) -> None:
         world = settled(30, 7, loss=0.2)
@@ -262,6 +264,35 @@
         self.assertEqual(len(replicator.fresh), MOST_FRESH)
         self.assertEqual(replicator.figures.dropped, 10)
 
+    def test_a_push_that_fails_goes_to_two_others_and_no_further(self) -> None:
+        world = settled(12, 23, tempo=Tempo(fan_out=1, far=0, compare_every=10_000 * SECOND))
+        member = world.members["n0"]
+        replicator = member.replicator
+        now = world.now + 60 * SECOND
+        replicator.publish([world.record(member, "k")], now)
+        asked = []
+        for step in range(1, 6):
+            for request in replicator.requests(now + step * SECOND):
+                if isinstance(request.messages[0], Records):
+                    asked.append(request.peer)
+                replicator.failed(request.peer, now + step * SECOND)
+        self.assertEqual((len(asked), len(set(asked))), (3, 3))
+        self.assertEqual(replicator.figures.dropped, 1)
+
+    def test_a_delivery_that_fails_goes_to_the_same_peer_twice_more(self) -> None:
+        world = settled(3, 24, tempo=NO_COMPARISON._replace(fan_out=0))
+        replicator = world.members["n0"].replicator
+        now = world.now + 60 * SECOND
+        record = world.change("n0", "k")
+        replicator.outstanding["n1"] = Job("n1", Purpose.PUSH, [])
+        replicator.answered("n1", [RecordsWanted([place_of(record)])], now)
+        asked = []
+        for step in range(6):
+            for request in replicator.requests(now + step):
+                asked.append(request.peer)
+                replicator.failed(request.peer, now + step)
+        self.assertEqual(asked.count("n1"), 3)
+
     def test_what_was_refused(self) -> None:
         withheld = WithheldRecords()
         for mark in range(MOST_WITHHELD + 5):
