--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -5,13 +5,21 @@
 import random
 import unittest
 
+import msgspec
 from configuration_world import MILLISECOND, SECOND, UNIX, World, halves, old_records
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from gorsefork.configuration.in_force import digest_in_force, digests, record_in_force
 from gorsefork.configuration.intake import place_of
-from gorsefork.configuration.messages import Records, RecordsWanted, Statement, StatementWanted
+from gorsefork.configuration.messages import (
+    RangeDigests,
+    Records,
+    RecordsWanted,
+    Statement,
+    StatementWanted,
+    Summary,
+)
 from gorsefork.configuration.peer_set import Peer, PeerSet
 from gorsefork.configuration.records import Record, RecordRefused, Refusal
 from gorsefork.configuration.replication import MOST_FRESH, Job, Purpose, Tempo
@@ -175,6 +183,17 @@
         world.start("n10")
         world.run_until(lambda: world.have(holding), WITHIN)
 
+    def test_no_ranges_are_compared_before_both_have_forgotten_alike(self) -> None:
+        world = settled(3, 25)
+        member = world.members["n0"]
+        summary = Summary(b"12345678", 1, 5, [])
+        answer = member.replicator.answer("n1", [summary], world.now)
+        self.assertEqual(member.store.horizon, 5, "it is asked to forget what the peer forgot")
+        self.assertTrue(any(isinstance(each, RangeDigests) for each in answer))
+        earlier = msgspec.structs.replace(summary, horizon=4)
+        answer = member.replicator.answer("n1", [earlier], world.now)
+        self.assertFalse(any(isinstance(each, RangeDigests) for each in answer))
+
     def test_a_peer_that_cannot_forget_brings_nothing_back(self) -> None:
         world = World(3, 12)
         old = old_records(5, age=95 * 86_400 * SECOND)
@@ -202,7 +221,7 @@
         judged = sum(member.refused[Refusal.CLOCK_AHEAD] for member in world.up())
         world.run(60)
         again = sum(member.refused[Refusal.CLOCK_AHEAD] for member in world.up())
-        self.assertLessEqual(again - judged, 7 * 5, "each asks for it again at a bounded rate")
+        self.assertLessEqual(again - judged, 7 * 4, "each asks for it again at a bounded rate")
         self.assertEqual({len(member.told) for member in world.up()}, {0, 1})
         world.run_until(lambda: world.have(ahead), 300)
 
--- a/tests/test_configuration_snapshot.py
+++ b/tests/test_configuration_snapshot.py
@@ -222,7 +222,7 @@
             ]
         newcomer = self.arrive(world, 60)
         self.assertEqual(newcomer.replicator.figures.snapshots, 0)
-        self.assertGreaterEqual(newcomer.replicator.figures.snapshots_given_up, 1)
+        self.assertEqual(newcomer.replicator.figures.snapshots_given_up, 1)
 
     def test_a_download_goes_on_with_the_pieces_that_it_had(self) -> None:
         """Also where one was damaged on the disk meanwhile."""
@@ -232,7 +232,7 @@
         pieces = fetched(source, manifest)
         lost, damaged = manifest.pieces[0], manifest.pieces[1]
         content = pieces.pop(lost)
-        pieces[damaged] += b"x"
+        pieces[damaged] = pieces[manifest.pieces[2]]
         download = SnapshotDownload("n0", peer_set(), Limits(), pieces)
         (ask,) = download.requests(0)
         download.answered(ask.peer, [manifest], 0)
@@ -250,6 +250,16 @@
         assert download.snapshot is not None
         self.assertEqual(sum(len(records) for _, records in download.snapshot.leaves()), MANY)
 
+    def test_no_more_pieces_are_on_their_way_than_may_be(self) -> None:
+        download = SnapshotDownload("n0", peer_set(), Limits())
+        (ask,) = download.requests(0)
+        manifest = made(SnapshotSource(filled(old_records(MANY))))
+        self.assertGreater(len(manifest.pieces), MOST_IN_FLIGHT)
+        download.answered(ask.peer, [manifest], 0)
+        for step in range(1, 20):
+            download.requests(step * SECOND // 10)
+        self.assertEqual(len(download.asked), MOST_IN_FLIGHT)
+
     def test_beyond_what_may_be_held_nothing_is_fetched(self) -> None:
         manifest = made(SnapshotSource(filled(old_records(MANY))))
         for limits in (Limits(records=MANY - 1), Limits(size=1000)):
