--- a/benchmarks/configuration_spread.py
+++ b/benchmarks/configuration_spread.py
@@ -130,13 +130,15 @@
     return row
 
 
-def measured(members: int, seed: int) -> Iterable[Row]:
+def measured(members: int, seed: int, with_burst: bool) -> Iterable[Row]:
     world = settled(members, seed)
     yield at_rest(world)
     for number in range(CHANGES):
         yield single(world, number)
         world.run(5)
     yield faults(world)
+    if not with_burst:
+        return
     world.loss = 0.0
     world.run(40)
     yield burst(world)
@@ -196,7 +198,7 @@
     version = commit()
     with open(given.out, "w", encoding="utf-8") as out:
         for members in given.sizes:
-            for row in measured(members, given.seed):
+            for row in measured(members, given.seed, members <= given.most_burst):
                 line = json.dumps({"commit": version, "seed": given.seed, "members": members, **row})
                 print(line, file=out, flush=True)
             print(f"{members} members: done", file=sys.stderr, flush=True)
@@ -218,6 +220,7 @@
     some = parts.add_parser("run", help="measure, and write a line of JSON for each result")
     some.add_argument("--sizes", type=int, nargs="*", default=SIZES)
     some.add_argument("--seed", type=int, default=1)
+    some.add_argument("--most-burst", type=int, default=max(SIZES), help="larger fleets are spared the burst")
     some.add_argument("--out", default="configuration_spread.jsonl")
     some.set_defaults(do=run)
     again = parts.add_parser("report", help="tables from such a file")
