Add the scale run: hollow ingresses by the hundred, played from an experiment file

Hollow ingresses are life.installation as it stands, with its own sockets on loopback, and a stand-in for the module's actor alone, so that another mechanism for configuration is measured with no change here. Ruled out: a relay for all datagrams (it would be the busiest process of the run, so cuts and losses are made at the sender's socket), and psutil (four figures of /proc are all that is read). Changed: gorsefork/lab/scale, the subcommand lab, an example, a row of the table of rooms.

--- a/gorsefork/cli/main.py
+++ b/gorsefork/cli/main.py
@@ -24,10 +24,11 @@
 def load() -> None:
     from gorsefork.cli.config import config
     from gorsefork.cli.fleet import fleet
+    from gorsefork.cli.lab import lab
     from gorsefork.cli.plans import plans
     from gorsefork.cli.usage import usage
 
-    for command in (config, fleet, plans, usage):
+    for command in (config, fleet, lab, plans, usage):
         cli.add_command(command)
 
 
--- /dev/null
+++ b/gorsefork/lab/scale/experiment.py
@@ -0,0 +1,151 @@
+"""An experiment as a TOML file, read whole before a run begins: every fault is told at once, with its key."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+Configuration = Literal["all-to-all", "replicated", "none"]
+FaultKind = Literal["kill", "restart", "cut"]
+Size = Annotated[int, Field(ge=2, le=2000)]
+MOST_HOLLOW_IN_PROCESS = 200
+
+
+class BadExperiment(Exception):
+    """A file that cannot be played: a line a fault, each beginning with its key."""
+
+
+class Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class Fleet(Section):
+    """The fleet that is played: one after another of ``sizes``, ``in_process`` hollow ingresses to a process.
+
+    Zones are dealt out in turn. Times are those of the fleet's view.
+    """
+
+    sizes: Annotated[list[Size], Field(min_length=1, max_length=20)]
+    in_process: Annotated[int, Field(ge=1, le=MOST_HOLLOW_IN_PROCESS)] = 40
+    real: Annotated[int, Field(ge=0, le=12)] = 0
+    regions: Annotated[int, Field(ge=1, le=8)] = 1
+    zones: Annotated[int, Field(ge=1, le=64)] = 1
+    period_ms: Annotated[int, Field(ge=100, le=60_000)] = 1000
+    timeout_ms: Annotated[int, Field(ge=20, le=30_000)] = 300
+    quiet_ms: Annotated[int, Field(ge=0, le=600_000)] = 3000
+    loss: Annotated[float, Field(ge=0.0, le=0.9)] = 0.0
+
+    @model_validator(mode="after")
+    def consistent(self) -> Fleet:
+        if self.timeout_ms > self.period_ms // 2:
+            raise ValueError("timeout_ms: must be half of period_ms at the most")
+        if self.zones < self.regions:
+            raise ValueError("zones: must be at least as many as regions")
+        if any(size <= self.real for size in self.sizes):
+            raise ValueError("sizes: each must exceed the number of real processes")
+        return self
+
+
+class Load(Section):
+    """What is asked of the fleet. ``records`` stand in the book of the first ingress before the others start.
+
+    ``changes`` of configuration are made, ``changes_a_day`` played ``time_factor`` times faster.
+    """
+
+    backends: Annotated[int, Field(ge=0, le=20_000)] = 0
+    tenants: Annotated[int, Field(ge=0, le=200_000)] = 0
+    records: Annotated[int, Field(ge=0, le=200_000)] = 0
+    changes: Annotated[int, Field(ge=0, le=10_000)] = 0
+    changes_a_day: Annotated[int, Field(ge=1, le=1_000_000)] = 1400
+    time_factor: Annotated[float, Field(gt=0.0, le=10_000.0)] = 60.0
+
+    @property
+    def change_every(self) -> float:
+        """Seconds between two changes."""
+        return 86_400.0 / self.changes_a_day / self.time_factor
+
+
+class Phases(Section):
+    """How long each phase lasts, or may last, in seconds."""
+
+    gather_within: Annotated[float, Field(gt=0.0, le=600.0)] = 60.0
+    load_within: Annotated[float, Field(gt=0.0, le=600.0)] = 60.0
+    rest: Annotated[float, Field(gt=0.0, le=600.0)] = 10.0
+    recover_within: Annotated[float, Field(gt=0.0, le=600.0)] = 30.0
+
+
+class Fault(Section):
+    """``at``: seconds after the first change. ``share`` of the fleet is killed or restarted; ``zone`` is cut
+    off from the others for ``lasts`` seconds. ``disk``: what a restarted ingress finds."""
+
+    kind: FaultKind
+    at: Annotated[float, Field(ge=0.0, le=600.0)]
+    share: Annotated[float, Field(gt=0.0, le=0.5)] | None = None
+    zone: Annotated[int, Field(ge=0, le=63)] | None = None
+    lasts: Annotated[float, Field(gt=0.0, le=600.0)] | None = None
+    disk: Literal["old", "none"] | None = None
+
+    @model_validator(mode="after")
+    def complete(self) -> Fault:
+        wanted = {"kill": {"share"}, "restart": {"share", "disk"}, "cut": {"zone", "lasts"}}[self.kind]
+        for key in ("share", "zone", "lasts", "disk"):
+            if (getattr(self, key) is not None) != (key in wanted):
+                raise ValueError(f"{key}: a {self.kind} {'needs it' if key in wanted else 'takes none'}")
+        return self
+
+
+class Bounds(Section):
+    """What a run may use of the machine; checked before it begins and while it runs."""
+
+    memory_share: Annotated[float, Field(gt=0.0, le=0.5)] = 0.5
+    processes: Annotated[int, Field(ge=1, le=300)] = 300
+
+
+class Experiment(Section):
+    """One experiment. ``seed`` decides who fails, who takes a change and which datagrams are lost."""
+
+    name: Annotated[str, Field(pattern="^[a-z0-9-]{1,40}$")]
+    seed: Annotated[int, Field(ge=0, lt=1 << 31)]
+    configuration: Configuration
+    disk: bool = False
+    fleet: Fleet
+    load: Load = Load()
+    phases: Phases = Phases()
+    faults: Annotated[list[Fault], Field(max_length=20)] = []
+    bounds: Bounds = Bounds()
+
+    @model_validator(mode="after")
+    def playable(self) -> Experiment:
+        for place, fault in enumerate(self.faults):
+            if fault.zone is not None and fault.zone >= self.fleet.zones:
+                raise ValueError(f"faults.{place}.zone: there are zones 0 to {self.fleet.zones - 1}")
+            if fault.disk == "old" and not self.disk:
+                raise ValueError(f"faults.{place}.disk: an old disk needs disk = true")
+        if self.configuration == "none" and (self.load.changes or self.load.records):
+            raise ValueError("load.changes: without configuration there are no changes and no records")
+        return self
+
+
+def read(text: str) -> Experiment:
+    """The experiment in TOML. ``BadExperiment`` tells all that is wrong with it."""
+    try:
+        return Experiment.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise BadExperiment(f"file: is not TOML ({error})") from None
+    except ValidationError as error:
+        raise BadExperiment("\n".join(fault_line(dict(each)) for each in error.errors())) from None
+
+
+def fault_line(each: dict[str, object]) -> str:
+    """One of pydantic's errors as a key and a reason."""
+    where = each["loc"]
+    assert isinstance(where, tuple)
+    reason = str(each["msg"]).removeprefix("Value error, ")
+    key, _, rest = reason.partition(": ")
+    if each["type"] == "value_error" and rest:  # of a section as a whole: it names its key
+        where, reason = (*where, key), rest
+    if each["type"] == "extra_forbidden":
+        reason = "is not known"
+    return f"{'.'.join(map(str, where)) or 'file'}: {reason}"
--- /dev/null
+++ b/tests/test_lab_scale.py
@@ -0,0 +1,244 @@
+"""The scale run: its experiments, its bounds, and a small run from beginning to end."""
+
+from __future__ import annotations
+
+import os
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from click.testing import CliRunner
+
+from gorsefork.cli.lab import lab
+from gorsefork.lab.scale import fleet, machine, results
+from gorsefork.lab.scale.experiment import BadExperiment, Experiment, read
+from gorsefork.lab.scale.fleet import HostProcess
+from gorsefork.lab.scale.machine import BeyondBounds, Guard
+from gorsefork.lab.scale.report import draw, table
+from gorsefork.lab.scale.run import run
+from gorsefork.lab.scale.traffic import Network, datagram_kind
+
+EXAMPLES = Path(__file__).parents[1] / "examples" / "lab"
+HEAD = 'name = "small"\nseed = 7\nconfiguration = "all-to-all"\n'
+FLEET = "[fleet]\nsizes = [6]\nin_process = 6\nzones = 2\nperiod_ms = 200\ntimeout_ms = 60\nquiet_ms = 300\n"
+QUICK = "[phases]\nrest = 0.5\ngather_within = 20.0\nrecover_within = 20.0\n"
+
+
+def quiet(text: str) -> None:
+    """No progress is shown."""
+
+
+def faults(text: str) -> list[str]:
+    try:
+        read(text)
+    except BadExperiment as error:
+        return str(error).splitlines()
+    return []
+
+
+class Experiments(unittest.TestCase):
+    def test_the_examples_can_be_played(self) -> None:
+        files = sorted(EXAMPLES.glob("*.toml"))
+        self.assertTrue(files)
+        for file in files:
+            with self.subTest(file.name):
+                self.assertEqual([], faults(file.read_text(encoding="utf-8")))
+
+    def test_every_fault_is_told_at_once_with_its_key(self) -> None:
+        text = (
+            'name = "Small"\nseed = -1\nconfiguration = "by hand"\ncolour = "red"\n'
+            "[fleet]\nsizes = [1]\nzones = 1\nregions = 2\n[load]\nchanges = 1.5\n"
+            '[[faults]]\nkind = "kill"\nat = 0.0\n[bounds]\nmemory_share = 0.6\nprocesses = 301\n'
+        )
+        told = faults(text)
+        keys = {line.partition(": ")[0] for line in told}
+        self.assertEqual(
+            {
+                "name",
+                "seed",
+                "configuration",
+                "colour",
+                "fleet.sizes.0",
+                "load.changes",
+                "faults.0.share",
+                "bounds.memory_share",
+                "bounds.processes",
+            },
+            keys,
+        )
+        self.assertIn("colour: is not known", told)
+        self.assertIn("faults.0.share: a kill needs it", told)
+
+    def test_what_does_not_fit_together_is_told_with_its_key(self) -> None:
+        cases = {
+            "fleet.timeout_ms": HEAD + "[fleet]\nsizes = [6]\nperiod_ms = 200\ntimeout_ms = 150\n",
+            "fleet.zones": HEAD + "[fleet]\nsizes = [6]\nregions = 3\nzones = 2\n",
+            "fleet.sizes": HEAD + "[fleet]\nsizes = [6]\nreal = 6\n",
+            "faults.0.zone": HEAD + FLEET + '[[faults]]\nkind = "cut"\nat = 0.0\nzone = 2\nlasts = 1.0\n',
+            "faults.0.disk": HEAD
+            + FLEET
+            + '[[faults]]\nkind = "restart"\nat = 0.0\nshare = 0.1\ndisk = "old"\n',
+            "load.changes": HEAD.replace("all-to-all", "none") + FLEET + "[load]\nchanges = 1\n",
+            "file": "name = ",
+        }
+        for key, text in cases.items():
+            with self.subTest(key):
+                told = faults(text)
+                self.assertEqual(1, len(told), told)
+                self.assertTrue(told[0].startswith(f"{key}: "), told)
+
+
+class Bounds(unittest.TestCase):
+    def test_a_plan_beyond_the_bounds_is_refused_before_it_begins(self) -> None:
+        with self.assertRaisesRegex(BeyondBounds, "3 processes are wanted, and 2 allowed"):
+            Guard(0.5, 2).check_plan(10, 3)
+        with self.assertRaisesRegex(BeyondBounds, "memory are expected"):
+            Guard(0.001, 10).check_plan(100, 3)
+        Guard(0.5, 3).check_plan(10, 3)
+
+    def test_use_beyond_the_bounds_is_told_while_it_runs(self) -> None:
+        with self.assertRaisesRegex(BeyondBounds, "2 processes run, and 1 are allowed"):
+            Guard(0.5, 1).check([os.getpid(), os.getpid()])
+        with self.assertRaisesRegex(BeyondBounds, "memory are in use"):
+            Guard(0.0001, 1).check([os.getpid()])
+        Guard(0.5, 1).check([os.getpid()])
+
+    def test_a_run_beyond_its_processes_does_not_begin(self) -> None:
+        experiment = read(HEAD + FLEET + "[bounds]\nprocesses = 1\n")
+        found, stopped = run(experiment, quiet)
+        self.assertEqual("at 6 ingresses: 2 processes are wanted, and 1 allowed", stopped)
+        self.assertEqual(["stopped"], [row.metric for row in found.rows])
+
+    def test_a_run_that_passes_its_memory_stops_with_the_reason(self) -> None:
+        experiment = read(HEAD + FLEET + "[bounds]\nmemory_share = 0.0001\n")
+        started: list[HostProcess] = []
+        opened = fleet.opened
+
+        async def noted(log: Path) -> HostProcess:
+            started.append(host := await opened(log))
+            return host
+
+        with (
+            mock.patch.object(machine, "HOLLOW_BYTES", 0),
+            mock.patch.object(machine, "PROCESS_BYTES", 0),
+            mock.patch.object(fleet, "opened", noted),
+        ):
+            found, stopped = run(experiment, quiet)
+        self.assertIn("memory are in use", stopped)
+        self.assertEqual("stopped", found.rows[-1].metric)
+        self.assertTrue(all(host.process.returncode is not None for host in started))
+
+    def test_a_host_that_ends_ends_the_run_with_a_reason(self) -> None:
+        opened = fleet.opened
+
+        async def killed(log: Path) -> HostProcess:
+            host = await opened(log)
+            host.process.kill()
+            return host
+
+        with mock.patch.object(fleet, "opened", killed):
+            _, stopped = run(read(HEAD + FLEET), quiet)
+        self.assertTrue(stopped.startswith("at 6 ingresses: "), stopped)
+
+
+class Ways(unittest.TestCase):
+    def test_a_cut_zone_reaches_itself_alone(self) -> None:
+        network = Network(1, 0.0)
+        network.place(1000, "a")
+        network.place(2000, "b")
+        network.place(3000, "c")
+        network.cut(["b"])
+        reached = {
+            (zone, port) for zone in "abc" for port in (1000, 2000, 3000) if network.reaches(zone, port)
+        }
+        self.assertEqual({("a", 1000), ("a", 3000), ("b", 2000), ("c", 1000), ("c", 3000)}, reached)
+        network.cut([])
+        self.assertTrue(network.reaches("a", 2000))
+
+    def test_the_kind_of_a_datagram_is_read_without_the_rest(self) -> None:
+        from gorsefork.fleet.messages import Codec, Message
+
+        message = Message("gossip", "n0", 1, 0, 7, bytes(8), 3)
+        self.assertEqual("gossip", datagram_kind(Codec("site", b"").pack(message)))
+        self.assertEqual("other", datagram_kind(b"short"))
+
+
+class SmallRun(unittest.TestCase):
+    experiment: Experiment
+    found: results.Results
+    stopped: str
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.experiment = read(
+            HEAD + "disk = true\n" + FLEET + QUICK + "[load]\nrecords = 5\nchanges = 3\ntime_factor = 600.0\n"
+            '[[faults]]\nkind = "restart"\nat = 0.1\nshare = 0.2\ndisk = "none"\n'
+            '[[faults]]\nkind = "cut"\nat = 0.0\nzone = 1\nlasts = 0.2\n'
+        )
+        cls.found, cls.stopped = run(cls.experiment, quiet)
+
+    def value(self, metric: str) -> float:
+        [row] = [row for row in self.found.rows if row.metric == metric]
+        return row.value
+
+    def test_it_ends_with_all_that_is_measured(self) -> None:
+        self.assertEqual("", self.stopped)
+        for metric in ("gather", "first load", "cpu rest", "memory", "descriptors", "bytes rest out"):
+            with self.subTest(metric):
+                self.assertGreater(self.value(metric), 0.0)
+        self.assertGreater(self.value("messages rest out datagram ping"), 0.0)
+        self.assertGreater(self.value("bytes changes in answer /v1/feed"), 0.0)
+
+    def test_every_change_came_into_force_everywhere(self) -> None:
+        self.assertEqual(3, self.value("changes accepted"))
+        self.assertEqual(0, self.value("arrivals missing"))
+        order = [self.value(f"in force at the {rank}, p100") for rank in ("first", "half", "99%", "last")]
+        self.assertEqual(sorted(order), order)
+
+    def test_those_that_were_away_caught_up(self) -> None:
+        notes = [row.note for row in self.found.rows if row.metric == "catch up"]
+        self.assertEqual(2, len(notes), self.found.rows)
+        self.assertTrue(any(note.startswith("restart of 1 with no disk") for note in notes), notes)
+
+    def test_each_row_names_its_run_its_commit_and_its_machine(self) -> None:
+        for row in self.found.rows:
+            self.assertEqual(
+                (self.found.run_id, "scale", 6, 7), (row.run_id, row.program, row.size_ingresses, row.seed)
+            )
+        self.assertIn("cores", self.found.machine)
+
+    def test_what_is_kept_is_read_and_shown(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file, chart = Path(folder) / "some.parquet", Path(folder) / "chart.png"
+            results.save(self.found.rows, file)
+            self.assertEqual(self.found.rows, results.load([file]))
+            draw(self.found.rows, chart)
+            self.assertGreater(chart.stat().st_size, 1000)
+            shown = CliRunner().invoke(lab, ["scale", "report", str(file)])
+        self.assertEqual(0, shown.exit_code, shown.output)
+        self.assertIn("in force at the last, p100", shown.output)
+        self.assertIn("6", table(self.found.rows).splitlines()[0])
+
+
+class CommandLine(unittest.TestCase):
+    def test_what_is_not_installed_is_named(self) -> None:
+        file = str(next(EXAMPLES.glob("*.toml")))
+        for module in ("pyarrow", "hdrh.histogram"):
+            with self.subTest(module), mock.patch.dict(sys.modules, {module: None}):
+                told = CliRunner().invoke(lab, ["scale", "run", file])
+                self.assertEqual(1, told.exit_code)
+                self.assertIn("pip install -r requirements-lab.txt", told.output)
+
+    def test_a_faulty_experiment_is_refused(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "bad.toml"
+            file.write_text(HEAD + "[fleet]\nsizes = []\n", encoding="utf-8")
+            told = CliRunner().invoke(lab, ["scale", "run", str(file)])
+        self.assertEqual(1, told.exit_code)
+        self.assertIn("fleet.sizes: ", told.output)
+
+
+if __name__ == "__main__":
+    unittest.main()
