Let the scale run play real processes beside the hollow ones

Need: what a hollow ingress costs is too little by the loop that it shares; the difference has to be told. Real processes answer the same commands as a host of hollow ones. Ruled out: cuts of real processes, whose requests pass no socket of the run; an experiment with both is refused with that reason.

--- a/gorsefork/lab/scale/experiment.py
+++ b/gorsefork/lab/scale/experiment.py
@@ -123,6 +123,9 @@
                 raise ValueError(f"faults.{place}.zone: there are zones 0 to {self.fleet.zones - 1}")
             if fault.disk == "old" and not self.disk:
                 raise ValueError(f"faults.{place}.disk: an old disk needs disk = true")
+        if self.fleet.real and (self.configuration == "none" or any(f.kind == "cut" for f in self.faults)):
+            # Cuts are made at the sockets of hollow ingresses; a real one is asked by its control listener.
+            raise ValueError("fleet.real: needs a configuration, and no cut among the faults")
         if self.configuration == "none" and (self.load.changes or self.load.records):
             raise ValueError("load.changes: without configuration there are no changes and no records")
         return self
--- a/gorsefork/lab/scale/fleet.py
+++ b/gorsefork/lab/scale/fleet.py
@@ -1,21 +1,23 @@
-"""The fleet of one run: its host processes, and what is asked of all of them at once."""
+"""The fleet of one run: its host processes and real ones, and what is asked of all of them at once."""
 
 from __future__ import annotations
 
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
+from typing import Protocol
 
 import trio
 
 from gorsefork.lab.scale import machine
 from gorsefork.lab.scale import messages as m
 from gorsefork.lab.scale.experiment import Experiment
+from gorsefork.lab.scale.real import RealHost
 
 ANSWER_WITHIN = 60.0  # s: a host's loop may be busy with what is measured
 LAST_WORDS = 2000  # characters of a host's log that are told where it ended
+SEEDS = 3  # ingresses that a new one asks for the others
 END_WITHIN = 10.0  # s for a host to end by itself
 
 
@@ -23,30 +25,38 @@
     """A host process ended, did not answer, or refused a command."""
 
 
+class Host(Protocol):
+    """What carries out commands at some of the ingresses. ``subject``: what its figures are figures of."""
+
+    subject: str
+
+    def pids(self) -> list[int]: ...
+    async def ask(self, command: m.Command) -> m.Answer: ...
+    async def end(self) -> None: ...
+
+
 class HostProcess:
-    """One host process. Commands to it wait for one another."""
+    """A process of hollow ingresses. Commands to it wait for one another."""
+
+    subject = "hollow"
 
     def __init__(self, process: trio.Process, log: Path) -> None:
         self.process, self.log = process, log
         self.turn, self.rest = trio.Lock(), b""
 
-    @property
-    def pid(self) -> int:
-        return self.process.pid
+    def pids(self) -> list[int]:
+        return [self.process.pid]
 
     async def ask(self, command: m.Command) -> m.Answer:
-        """``HostLost`` where no good answer comes."""
+        """``HostLost`` where no answer comes."""
         async with self.turn:
             try:
                 with trio.fail_after(ANSWER_WITHIN):
                     assert self.process.stdin is not None
                     await self.process.stdin.send_all(m.line(command))
-                    answer = m.ANSWERS.decode(await self.line())
+                    return m.ANSWERS.decode(await self.line())
             except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise HostLost(f"{type(error).__name__} at {type(command).__name__}: {self.tail()}") from None
-        if isinstance(answer, m.Failed):
-            raise HostLost(answer.reason)
-        return answer
 
     async def line(self) -> bytes:
         assert self.process.stdout is not None
@@ -75,25 +85,15 @@
             await self.process.wait()
 
 
-@dataclass(eq=False)
 class ScaleFleet:
-    """The hollow ingresses of one run, spread over host processes."""
-
-    experiment: Experiment
-    size: int
-    folder: Path
-    hosts: list[HostProcess] = field(default_factory=list)
-    places: dict[str, m.Place] = field(default_factory=dict)  # those that run
-    home: dict[str, HostProcess] = field(default_factory=dict)
-
-    def plan(self) -> list[list[m.Place]]:
-        """The ingresses of each host process. Zones are dealt out in turn, so each process has all."""
-        zones = self.experiment.fleet.zones
-        all_places = [
-            m.Place(f"i{n}", f"z{n % zones}") for n in range(self.size - self.experiment.fleet.real)
-        ]
-        some = self.experiment.fleet.in_process
-        return [all_places[at : at + some] for at in range(0, len(all_places), some)]
+    """The ingresses of one run, spread over hosts. Every method raises ``HostLost`` where a host fails."""
+
+    def __init__(self, experiment: Experiment, size: int, folder: Path, nursery: trio.Nursery) -> None:
+        self.experiment, self.size, self.folder, self.nursery = experiment, size, folder, nursery
+        self.hosts: list[Host] = []
+        self.places: dict[str, m.Place] = {}  # of those that run
+        self.planned: dict[str, m.Place] = {}
+        self.home: dict[str, Host] = {}
 
     async def open(self) -> None:
         """Start the host processes, with no ingress yet."""
@@ -109,30 +109,41 @@
             given.quiet_ms,
             given.loss,
         )
-        for number, places in enumerate(self.plan()):
-            host = await opened(self.folder / f"host{number}.log")
-            self.hosts.append(host)
-            self.home.update((place.name, host) for place in places)
-        await self.each(lambda host: host.ask(begin))
+        for number, places in enumerate(hollow_places(self.experiment, self.size)):
+            self.settle(await opened(self.folder / f"host{number}.log"), places)
+        if given.real:
+            self.settle(RealHost(self.folder, self.nursery), real_places(self.experiment))
+        await self.each(lambda host: answered(host, begin))
+
+    def settle(self, host: Host, places: Sequence[m.Place]) -> None:
+        self.hosts.append(host)
+        self.planned.update((place.name, place) for place in places)
+        self.home.update((place.name, host) for place in places)
+
+    def of(self, subject: str) -> list[Host]:
+        return [host for host in self.hosts if host.subject == subject]
+
+    def names(self, subject: str) -> list[str]:
+        """Of those that run."""
+        return [name for name in self.places if self.home[name].subject == subject]
 
     async def start(self, names: Sequence[str], keep_disk: bool = True, records: int = 0) -> None:
         """Start these, all at once. The first of all have nobody to ask."""
-        seeds = m.seeds_of(list(self.places.values())[:3])
-        zones = {place.name: place for places in self.plan() for place in places}
+        seeds = m.seeds_of(list(self.places.values())[:SEEDS])
 
-        async def some(host: HostProcess) -> None:
-            wanted = tuple(zones[name] for name in names if self.home[name] is host)
+        async def some(host: Host) -> None:
+            wanted = tuple(self.planned[name] for name in names if self.home[name] is host)
             if wanted:
-                answer = await host.ask(m.Start(wanted, seeds, keep_disk, records))
+                answer = await answered(host, m.Start(wanted, seeds, keep_disk, records))
                 assert isinstance(answer, m.Places)
                 self.places.update((place.name, place) for place in answer.places)
 
         await self.each(some)
 
     async def kill(self, names: Sequence[str]) -> None:
-        async def some(host: HostProcess) -> None:
+        async def some(host: Host) -> None:
             if wanted := tuple(name for name in names if self.home[name] is host):
-                await host.ask(m.Kill(wanted))
+                await answered(host, m.Kill(wanted))
 
         await self.each(some)
         for name in names:
@@ -140,55 +151,73 @@
 
     async def cut(self, zones: Sequence[str]) -> None:
         known = tuple(self.places.values())
-        await self.each(lambda host: host.ask(m.Know(known)))
-        await self.each(lambda host: host.ask(m.Cut(tuple(zones))))
+        await self.each(lambda host: answered(host, m.Know(known)))
+        await self.each(lambda host: answered(host, m.Cut(tuple(zones))))
 
     async def change(self, name: str, customer: str) -> m.Made:
-        made = await self.home[name].ask(m.Change(name, customer))
+        made = await answered(self.home[name], m.Change(name, customer))
         assert isinstance(made, m.Made)
         return made
 
     async def look(self) -> list[m.Sight]:
         found: list[m.Sight] = []
 
-        async def one(host: HostProcess) -> None:
-            sight = await host.ask(m.Look())
+        async def one(host: Host) -> None:
+            sight = await answered(host, m.Look())
             assert isinstance(sight, m.Sight)
             found.append(sight)
 
         await self.each(one)
         return found
 
-    async def count(self) -> list[m.Counts]:
-        found: list[m.Counts] = []
-
-        async def one(host: HostProcess) -> None:
-            counts = await host.ask(m.Count())
+    async def count(self, subject: str) -> list[m.Counts]:
+        """In the order of ``of``."""
+        found = []
+        for host in self.of(subject):
+            counts = await answered(host, m.Count())
             assert isinstance(counts, m.Counts)
             found.append(counts)
-
-        await self.each(one)
         return found
 
-    async def each(self, what: Callable[[HostProcess], Awaitable[object]]) -> None:
+    async def each(self, what: Callable[[Host], Awaitable[object]]) -> None:
         async with trio.open_nursery() as nursery:
             for host in self.hosts:
                 nursery.start_soon(what, host)
 
-    def usage(self) -> list[machine.Usage]:
-        """``HostLost`` where a process has ended."""
+    def usage(self, subject: str) -> dict[int, machine.Usage]:
+        """Of each process."""
         try:
-            return [machine.usage(host.pid) for host in self.hosts]
+            return {pid: machine.usage(pid) for host in self.of(subject) for pid in host.pids()}
         except OSError as error:
-            raise HostLost(f"a host process has ended: {error}") from None
+            raise HostLost(f"a process has ended: {error}") from None
 
-    def pids(self) -> Iterable[int]:
-        return [host.pid for host in self.hosts]
+    def pids(self) -> list[int]:
+        return [pid for host in self.hosts for pid in host.pids()]
 
     async def close(self) -> None:
         await self.each(lambda host: host.end())
 
 
+def hollow_places(experiment: Experiment, size: int) -> list[list[m.Place]]:
+    """The hollow ingresses of each host process. Zones are dealt out in turn, so each process has all."""
+    zones, some = experiment.fleet.zones, experiment.fleet.in_process
+    found = [m.Place(f"i{n}", f"z{n % zones}") for n in range(size - experiment.fleet.real)]
+    return [found[at : at + some] for at in range(0, len(found), some)]
+
+
+def real_places(experiment: Experiment) -> list[m.Place]:
+    zones = experiment.fleet.zones
+    return [m.Place(f"r{n}", f"z{n % zones}") for n in range(experiment.fleet.real)]
+
+
+async def answered(host: Host, command: m.Command) -> m.Answer:
+    """``HostLost`` where the command is not carried out."""
+    answer = await host.ask(command)
+    if isinstance(answer, m.Failed):
+        raise HostLost(answer.reason)
+    return answer
+
+
 async def opened(log: Path) -> HostProcess:
     with log.open("wb") as sink:
         process = await trio.lowlevel.open_process(
--- a/gorsefork/lab/scale/run.py
+++ b/gorsefork/lab/scale/run.py
@@ -16,7 +16,7 @@
 
 from gorsefork.lab.scale import messages as m
 from gorsefork.lab.scale.experiment import Experiment, Fault
-from gorsefork.lab.scale.fleet import HostLost, ScaleFleet
+from gorsefork.lab.scale.fleet import HostLost, ScaleFleet, hollow_places
 from gorsefork.lab.scale.hollow import customer
 from gorsefork.lab.scale.machine import BeyondBounds, Guard, Usage
 from gorsefork.lab.scale.results import Results, histogram
@@ -68,6 +68,7 @@
         self.experiment, self.size, self.results, self.fleet = experiment, size, results, fleet
         self.rng = random.Random(f"{experiment.seed} {size}")
         self.changes = Changes()
+        self.before: dict[str, dict[int, Usage]] = {}  # by subject, as its processes became ready
         self.progress: Progress = lambda text: None
 
     def add(self, subject: str, metric: str, value: float, unit: str, note: str = "") -> None:
@@ -75,11 +76,11 @@
 
     async def run(self) -> None:
         await self.fleet.open()
-        empty = self.fleet.usage()
+        self.before["hollow"] = self.fleet.usage("hollow")
         await self.gather()
         if self.experiment.load.records:
             await self.load()
-        await self.rest(empty)
+        await self.rest()
         if self.experiment.load.changes or self.experiment.faults:
             await self.busy()
 
@@ -90,6 +91,7 @@
         names = list(self.fleet.home)
         await self.fleet.start(names[:1], records=self.experiment.load.records)
         await self.fleet.start(names[1:])
+        self.before["real"] = self.fleet.usage("real")
         within = self.experiment.phases.gather_within
         wait = await self.until("gathered", within, lambda s: s.seen == len(names) and s.settled)
         self.took("gather", wait, "all started at once, until all views are settled")
@@ -100,14 +102,21 @@
         wait = await self.until("loaded", within, lambda s: s.held >= wanted)
         self.took("first load", wait, f"{wanted} records")
 
-    async def rest(self, empty: list[Usage]) -> None:
+    async def rest(self) -> None:
         """Nothing happens: what it costs to be there."""
         await self.measure("rest", self.experiment.phases.rest)
-        used = self.fleet.usage()
-        grown = sum(now.resident - then.resident for now, then in zip(used, empty, strict=True))
-        open_now = sum(now.descriptors - then.descriptors for now, then in zip(used, empty, strict=True))
-        self.add("hollow", "memory", grown / self.size, "bytes", "growth of resident memory an ingress")
-        self.add("hollow", "descriptors", open_now / self.size, "descriptors", "an ingress, mean")
+        for subject in self.subjects():
+            used, before = self.fleet.usage(subject), self.before[subject]
+            many, note = len(self.fleet.names(subject)), "an ingress, growth since its process was ready"
+            grown = [now.resident - before[pid].resident for pid, now in used.items()]
+            opened = [now.descriptors - before[pid].descriptors for pid, now in used.items()]
+            self.add(subject, "memory", sum(grown) / many, "bytes", note)
+            self.add(subject, "descriptors", sum(opened) / many, "descriptors", note)
+        if whole := [used.resident for used in self.fleet.usage("real").values()]:
+            self.add("real", "memory whole", sum(whole) / len(whole), "bytes", "a process, from its start")
+
+    def subjects(self) -> list[str]:
+        return ["hollow", "real"] if self.experiment.fleet.real else ["hollow"]
 
     async def busy(self) -> None:
         """Changes one after another, and the faults among them."""
@@ -151,7 +160,7 @@
             await self.recovered(f"cut of a zone for {fault.lasts:g} s")
             return
         assert fault.share is not None
-        others = list(self.fleet.places)[1:]
+        others = self.fleet.names("hollow")[1:]
         names = self.rng.sample(others, max(1, round(fault.share * len(self.fleet.places))))
         await self.fleet.kill(names)
         if fault.kind == "kill":
@@ -175,30 +184,41 @@
 
     async def measure(self, phase: str, seconds: float) -> None:
         """Processor time, messages and bytes an ingress and second."""
-        counts, used, began = await self.fleet.count(), self.fleet.usage(), trio.current_time()
+        counts = {subject: await self.fleet.count(subject) for subject in self.subjects()}
+        used = {subject: self.fleet.usage(subject) for subject in self.subjects()}
+        began = trio.current_time()
         self.progress(f"{phase}: {seconds:.0f} s")
         await trio.sleep(seconds)
         lasted = trio.current_time() - began
-        used_now, counts_now = self.fleet.usage(), await self.fleet.count()
-        share = 1.0 / lasted / self.size
-        cpu = sum(now.cpu - then.cpu for now, then in zip(used_now, used, strict=True))
-        self.add("hollow", f"cpu {phase}", 100 * cpu * share, "% of a core", "an ingress, the loop included")
+        for subject in self.subjects():
+            share = 1.0 / lasted / len(self.fleet.names(subject))
+            used_now = self.fleet.usage(subject)
+            cpu = sum(now.cpu - used[subject][pid].cpu for pid, now in used_now.items())
+            self.add(subject, f"cpu {phase}", 100 * cpu * share, "% of a core", "an ingress, loop and all")
+            self.tell_traffic(subject, phase, counts[subject], await self.fleet.count(subject), share)
+
+    def tell_traffic(
+        self, subject: str, phase: str, before: list[m.Counts], after: list[m.Counts], share: float
+    ) -> None:
+        """``share``: by which a sum becomes one of an ingress and second."""
         messages, sizes = Counter[str](), Counter[str]()
-        for then, now in zip(counts, counts_now, strict=True):
-            messages += Counter(now.messages)
-            messages.subtract(then.messages)
-            sizes += Counter(now.bytes)
-            sizes.subtract(then.bytes)
-        for kind in sorted(kind for kind, count in messages.items() if count):
-            self.add("hollow", f"messages {phase} {kind}", messages[kind] * share, "1/s", "an ingress")
-            self.add("hollow", f"bytes {phase} {kind}", sizes[kind] * share, "bytes/s", "an ingress")
+        for then, now in zip(before, after, strict=True):
+            messages += Counter(now.messages) - Counter(then.messages)
+            sizes += Counter(now.bytes) - Counter(then.bytes)
+        for kind in sorted(messages):
+            self.add(subject, f"messages {phase} {kind}", messages[kind] * share, "1/s", "an ingress")
+            if kind in sizes:
+                self.add(subject, f"bytes {phase} {kind}", sizes[kind] * share, "bytes/s", "an ingress")
         for way in ("out", "in"):
             # Requests are counted by their clients: what comes in there goes out at another ingress.
-            mirrored = [k for k in sizes if k.startswith((f"{way} datagram", "out request", "in answer"))]
-            total = sum(sizes[kind] for kind in mirrored)
-            self.add("hollow", f"bytes {phase} {way}", total * share, "bytes/s", "an ingress, all kinds")
-        stalls = sum(now.stalls - then.stalls for then, now in zip(counts, counts_now, strict=True))
-        self.add("hollow", f"stalls {phase}", stalls, "times", "a view was late by a period or more")
+            kinds = [
+                kind for kind in sizes if kind.startswith((f"{way} datagram", "out request", "in answer"))
+            ]
+            total, note = sum(sizes[kind] for kind in kinds), "an ingress, all that is counted"
+            if kinds:
+                self.add(subject, f"bytes {phase} {way}", total * share, "bytes/s", note)
+        stalls = sum(now.stalls - then.stalls for then, now in zip(before, after, strict=True))
+        self.add(subject, f"stalls {phase}", stalls, "times", "a view was late by a period or more")
 
     def tell_changes(self) -> None:
         there = set(self.fleet.places)
@@ -265,18 +285,18 @@
 async def play_size(experiment: Experiment, size: int, results: Results, progress: Progress) -> None:
     bounds = experiment.bounds
     guard = Guard(bounds.memory_share, bounds.processes)
+    guard.check_plan(size, len(hollow_places(experiment, size)) + experiment.fleet.real + 1)
     with tempfile.TemporaryDirectory(prefix="gorsefork-scale-") as folder:
-        fleet = ScaleFleet(experiment, size, Path(folder))
-        guard.check_plan(size, len(fleet.plan()) + 1)
-        run = SizeRun(experiment, size, results, fleet)
-        run.progress = progress
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(keep_bounds, guard, fleet)
+        async with trio.open_nursery() as nursery:
+            fleet = ScaleFleet(experiment, size, Path(folder), nursery)
+            run = SizeRun(experiment, size, results, fleet)
+            run.progress = progress
+            nursery.start_soon(keep_bounds, guard, fleet)
+            try:
                 await run.run()
-                nursery.cancel_scope.cancel()
-        finally:
-            await fleet.close()
+            finally:
+                await fleet.close()
+            nursery.cancel_scope.cancel()
 
 
 async def keep_bounds(guard: Guard, fleet: ScaleFleet) -> None:
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -80,6 +80,9 @@
             "faults.0.disk": HEAD
             + FLEET
             + '[[faults]]\nkind = "restart"\nat = 0.0\nshare = 0.1\ndisk = "old"\n',
+            "fleet.real": HEAD
+            + "[fleet]\nsizes = [6]\nreal = 1\n"
+            + '[[faults]]\nkind = "cut"\nat = 0.0\nzone = 0\nlasts = 1.0\n',
             "load.changes": HEAD.replace("all-to-all", "none") + FLEET + "[load]\nchanges = 1\n",
             "file": "name = ",
         }
@@ -222,6 +225,20 @@
         self.assertIn("6", table(self.found.rows).splitlines()[0])
 
 
+class RealBesideHollow(unittest.TestCase):
+    def test_both_are_in_one_fleet_and_are_measured_apart(self) -> None:
+        head, fleet_text = HEAD, FLEET.replace("sizes = [6]", "sizes = [4]\nreal = 1")
+        load = "[load]\nchanges = 2\ntime_factor = 600.0\n"
+        found, stopped = run(read(head + fleet_text + QUICK + load), quiet)
+        self.assertEqual("", stopped)
+        values = {(row.subject, row.metric): row.value for row in found.rows}
+        self.assertEqual(0, values["configuration", "arrivals missing"])
+        for subject in ("hollow", "real"):
+            self.assertIn((subject, "cpu rest"), values)
+            self.assertGreater(values[subject, "bytes rest out"], 0.0)
+        self.assertGreater(values["real", "memory whole"], 10 << 20)
+
+
 class CommandLine(unittest.TestCase):
     def test_what_is_not_installed_is_named(self) -> None:
         file = str(next(EXAMPLES.glob("*.toml")))
