--- a/gorsefork/lab/scale/run.py
+++ b/gorsefork/lab/scale/run.py
@@ -131,7 +131,8 @@
         await self.until(
             "recovered", within, lambda s: s.seen == len(self.fleet.places) and s.held >= self.wanted()
         )
-        self.tell_changes()
+        if load.changes:
+            self.tell_changes()
 
     def wanted(self) -> int:
         return self.experiment.load.records + len(self.changes.accepted)
@@ -173,7 +174,8 @@
         """Until all that run see each other and hold what was accepted by the beginning of the wait."""
         wanted, there = self.wanted(), len(self.fleet.places)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.back, "catch up", what, lambda s: s.held >= wanted)
+            if wanted:
+                nursery.start_soon(self.back, "catch up", what, lambda s: s.held >= wanted)
             nursery.start_soon(self.back, "view again", what, lambda s: s.seen == there)
 
     async def back(self, metric: str, what: str, good: Callable[[m.Standing], bool]) -> None:
