Bound a scale run's changes in time, and keep what was measured when it is interrupted

Cause: at 160 ingresses the plan book takes 15 s and more to accept a change (a trial, ended by hand after 90 s), so a run of few changes did not end by itself, and an interrupt lost its figures. An answer whose caller has gone is no longer taken for the next command's; processor time is read from the process's own clock, as a tick of 10 ms showed 0 for 0.3 s at rest.

--- a/gorsefork/lab/scale/experiment.py
+++ b/gorsefork/lab/scale/experiment.py
@@ -73,6 +73,7 @@
     gather_within: Annotated[float, Field(gt=0.0, le=600.0)] = 60.0
     load_within: Annotated[float, Field(gt=0.0, le=600.0)] = 60.0
     rest: Annotated[float, Field(gt=0.0, le=600.0)] = 10.0
+    changes_within: Annotated[float, Field(gt=0.0, le=3600.0)] = 120.0
     recover_within: Annotated[float, Field(gt=0.0, le=600.0)] = 30.0
 
 
--- a/gorsefork/lab/scale/fleet.py
+++ b/gorsefork/lab/scale/fleet.py
@@ -42,7 +42,8 @@
 
     def __init__(self, process: trio.Process, log: Path) -> None:
         self.process, self.log = process, log
-        self.turn, self.rest = trio.Lock(), b""
+        self.turn, self.heard = trio.Lock(), bytearray()
+        self.owed = 0  # answers that have not come: one whose caller has gone is read by the next
 
     def pids(self) -> list[int]:
         return [self.process.pid]
@@ -54,18 +55,23 @@
                 with trio.fail_after(ANSWER_WITHIN):
                     assert self.process.stdin is not None
                     await self.process.stdin.send_all(m.line(command))
-                    return m.ANSWERS.decode(await self.line())
+                    self.owed += 1
+                    while True:
+                        answer = await self.line()
+                        self.owed -= 1
+                        if not self.owed:
+                            return m.ANSWERS.decode(answer)
             except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise HostLost(f"{type(error).__name__} at {type(command).__name__}: {self.tail()}") from None
 
     async def line(self) -> bytes:
         assert self.process.stdout is not None
-        pieces = [self.rest]
-        while b"\n" not in pieces[-1]:
+        while (end := self.heard.find(b"\n")) < 0:
             if not (chunk := await self.process.stdout.receive_some(1 << 20)):
                 raise trio.BrokenResourceError
-            pieces.append(bytes(chunk))
-        text, _, self.rest = b"".join(pieces).partition(b"\n")
+            self.heard += chunk
+        text = bytes(self.heard[:end])
+        del self.heard[: end + 1]
         return text
 
     def tail(self) -> str:
--- a/gorsefork/lab/scale/machine.py
+++ b/gorsefork/lab/scale/machine.py
@@ -4,12 +4,13 @@
 
 import os
 import platform
+import time
 from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
 PAGE = os.sysconf("SC_PAGE_SIZE")
-TICKS = os.sysconf("SC_CLK_TCK")
+CPU_CLOCK = 2  # the kernel's CPUCLOCK_SCHED: time on a processor, of all threads
 HOLLOW_BYTES = 2 << 20  # an estimate of one hollow ingress, for the check before a run
 PROCESS_BYTES = 60 << 20  # the same of one process
 DESCRIPTORS_KEPT = 200  # of a process's limit, for what is not connections
@@ -31,10 +32,13 @@
 def usage(pid: int) -> Usage:
     """``OSError`` where there is no such process."""
     folder = Path("/proc") / str(pid)
-    fields = (folder / "stat").read_text().rpartition(")")[2].split()
     resident = int((folder / "statm").read_text().split()[1]) * PAGE
-    cpu = (int(fields[11]) + int(fields[12])) / TICKS
-    return Usage(cpu, resident, len(os.listdir(folder / "fd")))
+    return Usage(time.clock_gettime(cpu_clock(pid)), resident, len(os.listdir(folder / "fd")))
+
+
+def cpu_clock(pid: int) -> int:
+    """The clock of another process's processor time, as clock_getcpuclockid(3) names it."""
+    return ~pid << 3 | CPU_CLOCK
 
 
 def memory() -> int:
--- a/gorsefork/lab/scale/run.py
+++ b/gorsefork/lab/scale/run.py
@@ -120,20 +120,23 @@
 
     async def busy(self) -> None:
         """Changes one after another, and the faults among them."""
-        load = self.experiment.load
+        load, phases = self.experiment.load, self.experiment.phases
         async with trio.open_nursery() as nursery:
             for fault in self.experiment.faults:
                 nursery.start_soon(self.play, fault)
             if load.changes:
                 nursery.start_soon(self.measure, "changes", load.changes * load.change_every)
-                await self.make_changes()
-        within = self.experiment.phases.recover_within
-        await self.until(
-            "recovered", within, lambda s: s.seen == len(self.fleet.places) and s.held >= self.wanted()
-        )
+                with trio.move_on_after(phases.changes_within):
+                    await self.make_changes()
+        everywhere = partial(self.is_everywhere, self.wanted(), len(self.fleet.places))
+        await self.until("recovered", phases.recover_within, everywhere)
         if load.changes:
             self.tell_changes()
 
+    @staticmethod
+    def is_everywhere(wanted: int, there: int, standing: m.Standing) -> bool:
+        return standing.seen == there and standing.held >= wanted
+
     def wanted(self) -> int:
         return self.experiment.load.records + len(self.changes.accepted)
 
@@ -242,6 +245,8 @@
         self.add("configuration", "changes accepted", len(self.changes.accepted), "changes")
         refused = "; ".join(sorted(set(self.changes.refused))[:3])
         self.add("configuration", "changes refused", len(self.changes.refused), "changes", refused)
+        not_made = self.experiment.load.changes - len(self.changes.accepted) - len(self.changes.refused)
+        self.add("configuration", "changes not made", not_made, "changes", "their time was over")
         self.add("configuration", "arrivals missing", missing, "arrivals", "changes times ingresses")
 
     async def until(self, what: str, within: float, good: Callable[[m.Standing], bool]) -> Wait:
@@ -272,8 +277,8 @@
     for size in experiment.fleet.sizes:
         try:
             await play_size(experiment, size, results, partial(at_size, progress, size))
-        except* (BeyondBounds, HostLost) as group:
-            reason = "; ".join(dict.fromkeys(str(error) for error in leaves(group)))
+        except* (BeyondBounds, HostLost, KeyboardInterrupt) as group:
+            reason = "; ".join(dict.fromkeys(str(error) or type(error).__name__ for error in leaves(group)))
             results.add(size, "run", "stopped", 1, "times", reason)
         if reason:
             return f"at {size} ingresses: {reason}"
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -9,15 +9,17 @@
 from pathlib import Path
 from unittest import mock
 
+import trio
 from click.testing import CliRunner
 
 from gorsefork.cli.lab import lab
 from gorsefork.lab.scale import fleet, machine, results
+from gorsefork.lab.scale import messages as m
+from gorsefork.lab.scale import run as playing
 from gorsefork.lab.scale.experiment import BadExperiment, Experiment, read
 from gorsefork.lab.scale.fleet import HostProcess
 from gorsefork.lab.scale.machine import BeyondBounds, Guard
 from gorsefork.lab.scale.report import draw, table
-from gorsefork.lab.scale.run import run
 from gorsefork.lab.scale.traffic import Network, datagram_kind
 
 EXAMPLES = Path(__file__).parents[1] / "examples" / "lab"
@@ -26,6 +28,12 @@
 QUICK = "[phases]\nrest = 0.3\ngather_within = 20.0\nrecover_within = 20.0\n"
 
 
+def setUpModule() -> None:
+    patched = mock.patch.object(playing, "LOOK_EVERY", 0.05)
+    patched.start()
+    unittest.addModuleCleanup(patched.stop)
+
+
 def quiet(text: str) -> None:
     """No progress is shown."""
 
@@ -110,7 +118,7 @@
 
     def test_a_run_beyond_its_processes_does_not_begin(self) -> None:
         experiment = read(HEAD + FLEET + "[bounds]\nprocesses = 1\n")
-        found, stopped = run(experiment, quiet)
+        found, stopped = playing.run(experiment, quiet)
         self.assertEqual("at 6 ingresses: 2 processes are wanted, and 1 allowed", stopped)
         self.assertEqual(["stopped"], [row.metric for row in found.rows])
 
@@ -128,7 +136,7 @@
             mock.patch.object(machine, "PROCESS_BYTES", 0),
             mock.patch.object(fleet, "opened", noted),
         ):
-            found, stopped = run(experiment, quiet)
+            found, stopped = playing.run(experiment, quiet)
         self.assertIn("memory are in use", stopped)
         self.assertEqual("stopped", found.rows[-1].metric)
         self.assertTrue(all(host.process.returncode is not None for host in started))
@@ -142,10 +150,35 @@
             return host
 
         with mock.patch.object(fleet, "opened", killed):
-            _, stopped = run(read(HEAD + FLEET), quiet)
+            _, stopped = playing.run(read(HEAD + FLEET), quiet)
         self.assertTrue(stopped.startswith("at 6 ingresses: "), stopped)
 
 
+class Answers(unittest.TestCase):
+    def test_an_answer_whose_caller_has_gone_is_not_taken_for_the_next(self) -> None:
+        async def main() -> m.Answer:
+            with tempfile.TemporaryDirectory() as folder:
+                host = await fleet.opened(Path(folder) / "log")
+                with trio.CancelScope() as scope:
+                    scope.cancel()
+                    await host.ask(m.Count())  # gone before it is sent
+                async with trio.open_nursery() as nursery:
+                    asked = trio.CancelScope()
+                    nursery.start_soon(cancelled_once_owed, host, asked)
+                    with asked:
+                        await host.ask(m.Count())
+                answer = await host.ask(m.Look())
+                await host.end()
+                return answer
+
+        async def cancelled_once_owed(host: HostProcess, asked: trio.CancelScope) -> None:
+            while not host.owed:
+                await trio.lowlevel.checkpoint()
+            asked.cancel()
+
+        self.assertEqual(m.Sight((), ()), trio.run(main))
+
+
 class Ways(unittest.TestCase):
     def test_a_cut_zone_reaches_itself_alone(self) -> None:
         network = Network(1, 0.0)
@@ -180,7 +213,7 @@
             '[[faults]]\nkind = "restart"\nat = 0.1\nshare = 0.2\ndisk = "none"\n'
             '[[faults]]\nkind = "cut"\nat = 0.0\nzone = 1\nlasts = 0.2\n'
         )
-        cls.found, cls.stopped = run(cls.experiment, quiet)
+        cls.found, cls.stopped = playing.run(cls.experiment, quiet)
 
     def value(self, metric: str) -> float:
         [row] = [row for row in self.found.rows if row.metric == metric]
@@ -205,7 +238,7 @@
         self.assertEqual(2, len(notes), self.found.rows)
         self.assertTrue(any(note.startswith("restart of 1 with no disk") for note in notes), notes)
 
-    def test_each_row_names_its_run_its_commit_and_its_machine(self) -> None:
+    def test_each_row_names_its_s_commit_and_its_machine(self) -> None:
         for row in self.found.rows:
             self.assertEqual(
                 (self.found.run_id, "scale", 6, 7), (row.run_id, row.program, row.size_ingresses, row.seed)
@@ -229,7 +262,7 @@
     def test_both_are_in_one_fleet_and_are_measured_apart(self) -> None:
         head, fleet_text = HEAD, FLEET.replace("sizes = [6]", "sizes = [4]\nreal = 1")
         load = "[load]\nchanges = 2\ntime_factor = 600.0\n"
-        found, stopped = run(read(head + fleet_text + QUICK + load), quiet)
+        found, stopped = playing.run(read(head + fleet_text + QUICK + load), quiet)
         self.assertEqual("", stopped)
         values = {(row.subject, row.metric): row.value for row in found.rows}
         self.assertEqual(0, values["configuration", "arrivals missing"])
