Give a scale run's book a plan for each tenant, and test what a cut stops

Cause: backends and records stood in an experiment and changed nothing but a column of the results. Tenants are what is in the book at the beginning; backends wait for a data path and are 0 in all results. Arrivals are told of changes that the run makes alone: at 62,000 tenants and 620 ingresses the others would be 38 million.

--- a/gorsefork/lab/scale/experiment.py
+++ b/gorsefork/lab/scale/experiment.py
@@ -49,14 +49,12 @@
 
 
 class Load(Section):
-    """What is asked of the fleet. ``records`` stand in the book of the first ingress before the others start.
-
-    ``changes`` of configuration are made, ``changes_a_day`` played ``time_factor`` times faster.
+    """What is asked of the fleet. ``tenants`` have a plan each, in the book of the first ingress before the
+    others start. ``changes`` of other tenants' plans are made, ``changes_a_day`` played ``time_factor`` times
+    faster.
     """
 
-    backends: Annotated[int, Field(ge=0, le=20_000)] = 0
     tenants: Annotated[int, Field(ge=0, le=200_000)] = 0
-    records: Annotated[int, Field(ge=0, le=200_000)] = 0
     changes: Annotated[int, Field(ge=0, le=10_000)] = 0
     changes_a_day: Annotated[int, Field(ge=1, le=1_000_000)] = 1400
     time_factor: Annotated[float, Field(gt=0.0, le=10_000.0)] = 60.0
@@ -127,8 +125,8 @@
         if self.fleet.real and (self.configuration == "none" or any(f.kind == "cut" for f in self.faults)):
             # Cuts are made at the sockets of hollow ingresses; a real one is asked by its control listener.
             raise ValueError("fleet.real: needs a configuration, and no cut among the faults")
-        if self.configuration == "none" and (self.load.changes or self.load.records):
-            raise ValueError("load.changes: without configuration there are no changes and no records")
+        if self.configuration == "none" and (self.load.changes or self.load.tenants):
+            raise ValueError("load.changes: without configuration there are no changes and no tenants")
         return self
 
 
--- a/gorsefork/lab/scale/hollow.py
+++ b/gorsefork/lab/scale/hollow.py
@@ -30,6 +30,7 @@
     "all-to-all": "gorsefork.wire.services.fellows",
     "replicated": "gorsefork.wire.http1.client_pool",
 }
+FIRST_CHANGED = 1 << 32  # the number of the first customer that changes are made for; others are below
 MOST_AT_ONCE = 500  # records that are put into a book in one go
 
 
@@ -75,7 +76,7 @@
 
     def terms_changed(self, customers: Iterable[str]) -> None:
         now = self.clock.now
-        self.heard += [Arrival(customer, self.name, now) for customer in customers]
+        self.heard += [Arrival(each, self.name, now) for each in customers if is_changed(each)]
 
     retold = terms_changed  # its name before configuration was replicated
 
@@ -189,6 +190,11 @@
     return f"{number:016x}"
 
 
+def is_changed(name: str) -> bool:
+    """Whether the run makes changes for that customer, and so wants to hear of it."""
+    return name >= customer(FIRST_CHANGED)
+
+
 def remove_disk(folder: str, name: str) -> None:
     if folder:
         shutil.rmtree(Path(folder) / name, ignore_errors=True)
--- a/gorsefork/lab/scale/machine.py
+++ b/gorsefork/lab/scale/machine.py
@@ -12,6 +12,7 @@
 PAGE = os.sysconf("SC_PAGE_SIZE")
 CPU_CLOCK = 2  # the kernel's CPUCLOCK_SCHED: time on a processor, of all threads
 HOLLOW_BYTES = 2 << 20  # an estimate of one hollow ingress, for the check before a run
+TENANT_BYTES = 250  # the same of one tenant's plan at one ingress
 PROCESS_BYTES = 60 << 20  # the same of one process
 DESCRIPTORS_KEPT = 200  # of a process's limit, for what is not connections
 
@@ -61,11 +62,11 @@
     def __init__(self, share: float, processes: int) -> None:
         self.most_memory, self.most_processes = round(share * memory()), processes
 
-    def check_plan(self, ingresses: int, processes: int) -> None:
+    def check_plan(self, ingresses: int, tenants: int, processes: int) -> None:
         """Before a run begins: what it would use by estimate."""
         if processes > self.most_processes:
             raise BeyondBounds(f"{processes} processes are wanted, and {self.most_processes} allowed")
-        wanted = ingresses * HOLLOW_BYTES + processes * PROCESS_BYTES
+        wanted = ingresses * (HOLLOW_BYTES + tenants * TENANT_BYTES) + processes * PROCESS_BYTES
         if wanted > self.most_memory:
             raise BeyondBounds(
                 f"{shown(wanted)} of memory are expected, and {shown(self.most_memory)} allowed"
--- a/gorsefork/lab/scale/real.py
+++ b/gorsefork/lab/scale/real.py
@@ -19,7 +19,7 @@
 import trio
 
 from gorsefork.lab.scale import messages as m
-from gorsefork.lab.scale.hollow import PLANS, SETTINGS
+from gorsefork.lab.scale.hollow import PLANS, SETTINGS, is_changed
 from gorsefork.memory.clock import monotonic_us
 from gorsefork.wire.http1.client import HttpClient, NoAnswer
 
@@ -60,7 +60,7 @@
             case "ingress.ready":
                 self.control = told["control"]
                 self.ready.set()
-            case "plan.changed":
+            case "plan.changed" if is_changed(told["customer"]):
                 self.arrived.append(m.Arrival(told["customer"], self.place.name, monotonic_us()))
 
     async def ask(self, method: str, path: str, body: Any = None) -> Any:
--- a/gorsefork/lab/scale/results.py
+++ b/gorsefork/lab/scale/results.py
@@ -50,7 +50,6 @@
         self.rows: list[Row] = []
 
     def add(self, size: int, subject: str, metric: str, value: float, unit: str, note: str = "") -> None:
-        load = self.experiment.load
         self.rows.append(
             Row(
                 self.run_id,
@@ -60,8 +59,8 @@
                 subject,
                 metric,
                 size,
-                load.backends,
-                load.tenants,
+                0,  # no run has a data path yet
+                self.experiment.load.tenants,
                 float(value),
                 unit,
                 self.experiment.seed,
--- a/gorsefork/lab/scale/run.py
+++ b/gorsefork/lab/scale/run.py
@@ -17,13 +17,12 @@
 from gorsefork.lab.scale import messages as m
 from gorsefork.lab.scale.experiment import Experiment, Fault
 from gorsefork.lab.scale.fleet import HostLost, ScaleFleet, hollow_places
-from gorsefork.lab.scale.hollow import customer
+from gorsefork.lab.scale.hollow import FIRST_CHANGED, customer
 from gorsefork.lab.scale.machine import BeyondBounds, Guard, Usage
 from gorsefork.lab.scale.results import Results, histogram
 
 GUARD_EVERY = 0.5  # s
 LOOK_EVERY = 0.5  # s; how exact gathering, loading and recovery are timed
-FIRST_CUSTOMER = 1 << 32  # of those that changes are made for; records have the numbers below
 RANKS: tuple[tuple[str, float], ...] = (("first", 0.0), ("half", 0.5), ("99%", 0.99), ("last", 1.0))
 SECOND = 1_000_000
 
@@ -78,7 +77,7 @@
         await self.fleet.open()
         self.before["hollow"] = self.fleet.usage("hollow")
         await self.gather()
-        if self.experiment.load.records:
+        if self.experiment.load.tenants:
             await self.load()
         await self.rest()
         if self.experiment.load.changes or self.experiment.faults:
@@ -89,7 +88,7 @@
     async def gather(self) -> None:
         """The first alone, then all others at once, until each sees all."""
         names = list(self.fleet.home)
-        await self.fleet.start(names[:1], records=self.experiment.load.records)
+        await self.fleet.start(names[:1], records=self.experiment.load.tenants)
         await self.fleet.start(names[1:])
         self.before["real"] = self.fleet.usage("real")
         within = self.experiment.phases.gather_within
@@ -98,9 +97,9 @@
 
     async def load(self) -> None:
         """Until all hold what the first had from the beginning."""
-        wanted, within = self.experiment.load.records, self.experiment.phases.load_within
+        wanted, within = self.experiment.load.tenants, self.experiment.phases.load_within
         wait = await self.until("loaded", within, lambda s: s.held >= wanted)
-        self.took("first load", wait, f"{wanted} records")
+        self.took("first load", wait, f"{wanted} tenants' plans")
 
     async def rest(self) -> None:
         """Nothing happens: what it costs to be there."""
@@ -138,13 +137,13 @@
         return standing.seen == there and standing.held >= wanted
 
     def wanted(self) -> int:
-        return self.experiment.load.records + len(self.changes.accepted)
+        return self.experiment.load.tenants + len(self.changes.accepted)
 
     async def make_changes(self) -> None:
         load, began = self.experiment.load, trio.current_time()
         for number in range(load.changes):
             await trio.sleep_until(began + number * load.change_every)
-            name, whose = self.rng.choice(list(self.fleet.places)), customer(FIRST_CUSTOMER + number)
+            name, whose = self.rng.choice(list(self.fleet.places)), customer(FIRST_CHANGED + number)
             made = await self.fleet.change(name, whose)
             if made.problem:
                 self.changes.refused.append(made.problem)
@@ -292,7 +291,9 @@
 async def play_size(experiment: Experiment, size: int, results: Results, progress: Progress) -> None:
     bounds = experiment.bounds
     guard = Guard(bounds.memory_share, bounds.processes)
-    guard.check_plan(size, len(hollow_places(experiment, size)) + experiment.fleet.real + 1)
+    guard.check_plan(
+        size, experiment.load.tenants, len(hollow_places(experiment, size)) + experiment.fleet.real + 1
+    )
     with tempfile.TemporaryDirectory(prefix="gorsefork-scale-") as folder:
         async with trio.open_nursery() as nursery:
             fleet = ScaleFleet(experiment, size, Path(folder), nursery)
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import os
+import socket
 import sys
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
+import h11
 import trio
+from accounts_standin import Served
 from click.testing import CliRunner
 
 from gorsefork.cli.lab import lab
@@ -20,7 +24,16 @@
 from gorsefork.lab.scale.fleet import HostProcess
 from gorsefork.lab.scale.machine import BeyondBounds, Guard
 from gorsefork.lab.scale.report import draw, table
-from gorsefork.lab.scale.traffic import Network, datagram_kind
+from gorsefork.lab.scale.traffic import (
+    CountedClient,
+    CountedSocket,
+    Network,
+    Owner,
+    Traffic,
+    datagram_kind,
+    owner,
+)
+from gorsefork.wire.http1.client import NoAnswer
 
 EXAMPLES = Path(__file__).parents[1] / "examples" / "lab"
 HEAD = 'name = "small"\nseed = 7\nconfiguration = "all-to-all"\n'
@@ -38,6 +51,13 @@
     """No progress is shown."""
 
 
+def datagram_socket() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.settimeout(5.0)
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
 def faults(text: str) -> list[str]:
     try:
         read(text)
@@ -104,10 +124,14 @@
 class Bounds(unittest.TestCase):
     def test_a_plan_beyond_the_bounds_is_refused_before_it_begins(self) -> None:
         with self.assertRaisesRegex(BeyondBounds, "3 processes are wanted, and 2 allowed"):
-            Guard(0.5, 2).check_plan(10, 3)
+            Guard(0.5, 2).check_plan(10, 0, 3)
+        guard = Guard(0.5, 3)
+        guard.most_memory = 1 << 30
+        guard.check_plan(10, 1000, 3)
+        with self.assertRaisesRegex(BeyondBounds, "memory are expected, and 1024 MiB allowed"):
+            guard.check_plan(620, 0, 3)
         with self.assertRaisesRegex(BeyondBounds, "memory are expected"):
-            Guard(0.001, 10).check_plan(100, 3)
-        Guard(0.5, 3).check_plan(10, 3)
+            guard.check_plan(10, 500_000, 3)
 
     def test_use_beyond_the_bounds_is_told_while_it_runs(self) -> None:
         with self.assertRaisesRegex(BeyondBounds, "2 processes run, and 1 are allowed"):
@@ -179,6 +203,11 @@
         self.assertEqual(m.Sight((), ()), trio.run(main))
 
 
+class Answering(Served):
+    async def answer(self, request: h11.Request, body: bytes) -> Any:
+        return 200, [], b"here"
+
+
 class Ways(unittest.TestCase):
     def test_a_cut_zone_reaches_itself_alone(self) -> None:
         network = Network(1, 0.0)
@@ -193,6 +222,65 @@
         network.cut([])
         self.assertTrue(network.reaches("a", 2000))
 
+    def test_a_datagram_to_a_zone_that_is_cut_off_is_counted_and_lost(self) -> None:
+        network, traffic = Network(1, 0.0), Traffic()
+        with datagram_socket() as one, datagram_socket() as other:
+            network.place(other.getsockname()[1], "b")
+            counted = CountedSocket(one, "a", network, traffic)
+            network.cut(["b"])
+            counted.sendto(b"lost", other.getsockname())
+            network.cut([])
+            counted.sendto(b"comes", other.getsockname())
+            self.assertEqual(b"comes", other.recv(100))
+        self.assertEqual({"out datagram other": 2}, dict(traffic.messages))
+        self.assertEqual({"out datagram other": 9}, dict(traffic.bytes))
+
+    def test_a_request_to_a_zone_that_is_cut_off_is_not_answered(self) -> None:
+        trio.run(self.ask_across_a_cut)
+
+    async def ask_across_a_cut(self) -> None:
+        network, traffic, server = Network(1, 0.0), Traffic(), Answering()
+        async with trio.open_nursery() as nursery:
+            await server.open(nursery)
+            network.place(int(server.dial.rpartition(":")[2]), "b")
+            owner.set(Owner("a", network, traffic))
+            client = CountedClient(server.dial)
+            self.assertEqual(200, (await client.ask("GET", "/v1/feed?after=1")).status)
+            self.assertIsNotNone(client.kept)
+            network.cut(["a"])
+            for _ in range(2):  # behind the connection that stands, and over a new one
+                with self.assertRaises(NoAnswer):
+                    await client.ask("GET", "/v1/feed")
+                self.assertIsNone(client.kept)
+            network.cut([])
+            self.assertEqual(200, (await client.ask("GET", "/v1/feed")).status)
+            client.close()
+            nursery.cancel_scope.cancel()
+        self.assertEqual({"out request /v1/feed": 2, "in answer /v1/feed": 2}, dict(traffic.messages))
+        self.assertGreater(traffic.bytes["in answer /v1/feed"], 0)
+
+    def test_an_answer_from_a_zone_that_was_cut_off_meanwhile_does_not_arrive(self) -> None:
+        trio.run(self.cut_before_the_answer)
+
+    async def cut_before_the_answer(self) -> None:
+        network, held = Network(1, 0.0), trio.Event()
+
+        class Held(Served):
+            async def answer(self, request: h11.Request, body: bytes) -> Any:
+                network.cut(["b"])
+                held.set()
+                return 200, [], b"late"
+
+        server = Held()
+        async with trio.open_nursery() as nursery:
+            await server.open(nursery)
+            network.place(int(server.dial.rpartition(":")[2]), "b")
+            owner.set(Owner("a", network, Traffic()))
+            with self.assertRaises(NoAnswer):
+                await CountedClient(server.dial).ask("GET", "/v1/feed")
+            self.assertTrue(held.is_set())
+            nursery.cancel_scope.cancel()
+
     def test_the_kind_of_a_datagram_is_read_without_the_rest(self) -> None:
         from gorsefork.fleet.messages import Codec, Message
 
@@ -209,7 +297,7 @@
     @classmethod
     def setUpClass(cls) -> None:
         cls.experiment = read(
-            HEAD + "disk = true\n" + FLEET + QUICK + "[load]\nrecords = 5\nchanges = 3\ntime_factor = 600.0\n"
+            HEAD + "disk = true\n" + FLEET + QUICK + "[load]\ntenants = 5\nchanges = 3\ntime_factor = 600.0\n"
             '[[faults]]\nkind = "restart"\nat = 0.1\nshare = 0.2\ndisk = "none"\n'
             '[[faults]]\nkind = "cut"\nat = 0.0\nzone = 1\nlasts = 0.2\n'
         )
