--- a/gorsefork/lab/scale/hollow.py
+++ b/gorsefork/lab/scale/hollow.py
@@ -166,14 +166,18 @@
     return int(where.rpartition(":")[2])
 
 
+def mechanisms() -> list[str]:
+    """The mechanisms for configuration that this version of the program has, by their names."""
+    return [name for name, module in CLIENTS.items() if find_spec(module) is not None]
+
+
 def count_clients(configuration: str) -> None:
     """From here on the mechanism's client counts what it sends. ``Unknown`` if this version lacks it."""
     if configuration == "none":
         return
-    name = CLIENTS[configuration]
-    if find_spec(name) is None:
-        raise Unknown(f"configuration: this version has no {configuration!r}")
-    vars(import_module(name))["HttpClient"] = CountedClient
+    if configuration not in mechanisms():
+        raise Unknown(f"configuration: this version has no {configuration!r}, but {mechanisms()}")
+    vars(import_module(CLIENTS[configuration]))["HttpClient"] = CountedClient
 
 
 def records_until(now: int, records: int) -> list[Change]:
