Let a scale run play regions, delays, and fleets that know each other from the beginning

Fleets that are introduced show what the mechanism costs; a start of all at once can be played as before.

--- a/gorsefork/lab/scale/fleet.py
+++ b/gorsefork/lab/scale/fleet.py
@@ -113,7 +113,7 @@
             given.period_ms,
             given.timeout_ms,
             given.quiet_ms,
-            given.loss,
+            ways(self.experiment),
         )
         for number, places in enumerate(hollow_places(self.experiment, self.size)):
             self.settle(await opened(self.folder / f"host{number}.log"), places)
@@ -146,6 +146,11 @@
 
         await self.each(some)
 
+    async def introduce(self) -> None:
+        """Let all that run know each other."""
+        known = tuple(self.places.values())
+        await self.each(lambda host: answered(host, m.Introduce(known)))
+
     async def kill(self, names: Sequence[str]) -> None:
         async def some(host: Host) -> None:
             if wanted := tuple(name for name in names if self.home[name] is host):
@@ -204,6 +209,12 @@
         await self.each(lambda host: host.end())
 
 
+def ways(experiment: Experiment) -> m.Ways:
+    given = experiment.fleet
+    regions = {f"z{zone}": zone % given.regions for zone in range(given.zones)}
+    return m.Ways(regions, given.loss, given.zone_delay_ms / 1000, given.region_delay_ms / 1000)
+
+
 def hollow_places(experiment: Experiment, size: int) -> list[list[m.Place]]:
     """The hollow ingresses of each host process. Zones are dealt out in turn, so each process has all."""
     zones, some = experiment.fleet.zones, experiment.fleet.in_process
--- a/gorsefork/lab/scale/hollow.py
+++ b/gorsefork/lab/scale/hollow.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import shutil
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from importlib import import_module
 from importlib.util import find_spec
 from pathlib import Path
 from typing import Any, Protocol, cast
 
+from gorsefork.fleet.facts import Card, Fact, State, packed
 from gorsefork.lab.scale.messages import Arrival, Begin, Place, Standing
 from gorsefork.lab.scale.traffic import CountedClient, CountedSocket, Network, Owner, Traffic, owner
 from gorsefork.life.config import Config
 from gorsefork.life.installation import Installation
-from gorsefork.life.operator import Control, Fleet, Operator, State
+from gorsefork.life.operator import Control, Fleet, Operator
+from gorsefork.life.operator import State as StateFolder
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.deciding import Decider
 from gorsefork.plans.changes import Change, Refused, SetPlan
@@ -60,6 +62,10 @@
         """Make a change that concerns this customer. ``Refused`` if it cannot be taken."""
         ...
 
+    def introduce(self, facts: Sequence[Fact]) -> None:
+        """Let it know these members, itself among them, as if it had long heard of them."""
+        ...
+
     def standing(self) -> Standing: ...
     def arrivals(self) -> list[Arrival]: ...
     def stalls(self) -> int: ...
@@ -102,7 +108,9 @@
         control = given.configuration != "none"
         operator = Operator(
             control=Control(listen="127.0.0.1:0", catch_up_ms=0) if control else None,
-            state=State(folder=str(Path(given.folder) / place.name), sync="normal") if given.folder else None,
+            state=StateFolder(folder=str(Path(given.folder) / place.name), sync="normal")
+            if given.folder
+            else None,
             fleet=fleet,
         )
         config = Config(
@@ -125,7 +133,7 @@
         assert link is not None
         link.sock = cast(Any, CountedSocket(link.sock, self.zone, self.network, self.traffic))
         control = port(acceptor.where) if acceptor is not None else 0
-        return Place(self.name, self.zone, port(link.where), control)
+        return Place(self.name, self.zone, port(link.where), control, link.core.life)
 
     async def load(self, tenants: int) -> None:
         changes = plans_until(self.clock.unix_us(), tenants)
@@ -140,10 +148,21 @@
         now = self.clock.unix_us()
         await self.installation.keeper.make(SetPlan(customer, PLANS[0], now), "scale-run")
 
+    def introduce(self, facts: Sequence[Fact]) -> None:
+        link = self.installation.link
+        assert link is not None
+        for fact in facts:
+            link.core.view.take(fact, self.clock.now, "scale-run")
+        link.core.news.pieces.clear()  # nobody needs to be told what all were told
+        link.flush()
+
     def standing(self) -> Standing:
         link, digest = self.installation.link, self.installation.keeper.book.digest()
         assert link is not None
-        seen, settled = len(link.core.view.seen()), not link.core.lacking()
+        seen, core = len(link.core.view.seen()), link.core
+        # What is lacking is costly to tell in a large fleet, and needless where news has just come.
+        quiet = self.clock.now - core.view.changed_at >= core.pace.quiet
+        settled = quiet and not core.lacking()
         return Standing(self.name, seen, settled, int(digest.partition("-")[0]), digest)
 
     def arrivals(self) -> list[Arrival]:
@@ -194,6 +213,16 @@
     return f"{number:016x}"
 
 
+def fact_of(place: Place) -> Fact:
+    """What the fleet knows of an ingress that is alive."""
+    control = dial_of(place.control) if place.control else b""
+    return Fact(place.name, place.life, 0, State.ALIVE, Card(dial_of(place.datagrams), control, place.zone))
+
+
+def dial_of(number: int) -> bytes:
+    return packed(f"127.0.0.1:{number}")
+
+
 def is_changed(name: str) -> bool:
     """Whether the run makes changes for that customer, and so wants to hear of it."""
     return name >= customer(FIRST_CHANGED)
--- a/gorsefork/lab/scale/real.py
+++ b/gorsefork/lab/scale/real.py
@@ -106,8 +106,8 @@
                     return await self.count()
                 case m.End():
                     await self.kill(tuple(self.running))
-                case m.Know() | m.Cut():
-                    pass  # an experiment with cuts has no real processes
+                case m.Know() | m.Introduce() | m.Cut():
+                    pass  # an experiment with such has no real processes
         except (OSError, NoAnswer) as error:
             return m.Failed(f"{type(error).__name__}: {error}")
         return m.Done()
