Split what a scale run measures from what it plays, by job

run.py had the phases, the meter and the changes. A change at an ingress that is killed in the same moment is now refused: it ended the host process.

--- a/gorsefork/lab/scale/host.py
+++ b/gorsefork/lab/scale/host.py
@@ -136,8 +136,10 @@
         return m.Done()
 
     async def change(self, command: m.Change) -> m.Answer:
+        if (running := self.running.get(command.name)) is None:
+            return m.Made(self.clock.now, f"{command.name} does not run")
         try:
-            await self.running[command.name].ingress.change(command.customer)
+            await running.ingress.change(command.customer)
         except Refused as refused:
             return m.Made(self.clock.now, str(refused))
         return m.Made(self.clock.now)
--- a/gorsefork/lab/scale/results.py
+++ b/gorsefork/lab/scale/results.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, fields
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from gorsefork.lab.scale import machine
 from gorsefork.lab.scale.experiment import Experiment
@@ -16,6 +16,12 @@
 NEEDED = "pip install -r requirements-lab.txt"
 
 
+class Add(Protocol):
+    """Takes a figure of the size that is played."""
+
+    def __call__(self, subject: str, metric: str, value: float, unit: str, note: str = "") -> None: ...
+
+
 class Missing(Exception):
     """A library of the laboratory is not installed. The text says how to get it."""
 
--- a/gorsefork/lab/scale/run.py
+++ b/gorsefork/lab/scale/run.py
@@ -2,55 +2,31 @@
 
 from __future__ import annotations
 
-import math
 import os
 import random
 import tempfile
-from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 
 import trio
 
 from gorsefork.lab.scale import messages as m
+from gorsefork.lab.scale.changes import Changes
 from gorsefork.lab.scale.experiment import Experiment, Fault
 from gorsefork.lab.scale.fleet import HostLost, ScaleFleet, hollow_places
 from gorsefork.lab.scale.hollow import FIRST_CHANGED, customer
-from gorsefork.lab.scale.machine import BeyondBounds, Guard, Usage
-from gorsefork.lab.scale.results import Results, histogram
+from gorsefork.lab.scale.machine import BeyondBounds, Guard
+from gorsefork.lab.scale.meter import Meter
+from gorsefork.lab.scale.results import Results
 
 GUARD_EVERY = 0.5  # s
 LOOK_EVERY = 0.5  # s; how exact gathering, loading and recovery are timed
-RANKS: tuple[tuple[str, float], ...] = (("first", 0.0), ("half", 0.5), ("99%", 0.99), ("last", 1.0))
-SECOND = 1_000_000
 
 Progress = Callable[[str], None]
 
 
-class Stopped(Exception):
-    """A run ended before its time; the text says why. What was measured until then is kept."""
-
-
-@dataclass
-class Changes:
-    """What was changed: when each was accepted, and when it came into force where."""
-
-    accepted: dict[str, int] = field(default_factory=dict)
-    refused: list[str] = field(default_factory=list)
-    in_force: dict[str, dict[str, int]] = field(default_factory=lambda: defaultdict(dict))
-
-    def hear(self, arrivals: tuple[m.Arrival, ...]) -> None:
-        for arrival in arrivals:
-            self.in_force[arrival.customer].setdefault(arrival.name, arrival.at)
-
-    def delays(self, name: str, among: set[str]) -> list[int]:
-        """In microseconds, the shortest first; fewer than ``among`` where it has not arrived everywhere."""
-        accepted = self.accepted[name]
-        return sorted(max(0, at - accepted) for who, at in self.in_force[name].items() if who in among)
-
-
 @dataclass(frozen=True, slots=True)
 class Wait:
     """After so many seconds so many of all were as wanted."""
@@ -67,15 +43,13 @@
         self.experiment, self.size, self.results, self.fleet = experiment, size, results, fleet
         self.rng = random.Random(f"{experiment.seed} {size}")
         self.changes = Changes()
-        self.before: dict[str, dict[int, Usage]] = {}  # by subject, as its processes became ready
+        self.add = partial(results.add, size)
+        self.meter = Meter(fleet, self.subjects(), self.add)
         self.progress: Progress = lambda text: None
 
-    def add(self, subject: str, metric: str, value: float, unit: str, note: str = "") -> None:
-        self.results.add(self.size, subject, metric, value, unit, note)
-
     async def run(self) -> None:
         await self.fleet.open()
-        self.before["hollow"] = self.fleet.usage("hollow")
+        self.meter.note_ready("hollow")
         await self.begin()
         await self.rest()
         if self.experiment.load.changes or self.experiment.faults:
@@ -88,7 +62,7 @@
         names, load = list(self.fleet.home), self.experiment.load
         await self.fleet.start(names[:1], tenants=load.tenants)
         await self.fleet.start(names[1:])
-        self.before["real"] = self.fleet.usage("real")
+        self.meter.note_ready("real")
         if self.experiment.fleet.introduced:
             await self.fleet.introduce()
         async with trio.open_nursery() as nursery:
@@ -109,15 +83,11 @@
     async def rest(self) -> None:
         """Nothing happens: what it costs to be there."""
         await self.measure("rest", self.experiment.phases.rest)
-        for subject in self.subjects():
-            used, before = self.fleet.usage(subject), self.before[subject]
-            many, note = len(self.fleet.names(subject)), "an ingress, growth since its process was ready"
-            grown = [now.resident - before[pid].resident for pid, now in used.items()]
-            opened = [now.descriptors - before[pid].descriptors for pid, now in used.items()]
-            self.add(subject, "memory", sum(grown) / many, "bytes", note)
-            self.add(subject, "descriptors", sum(opened) / many, "descriptors", note)
-        if whole := [used.resident for used in self.fleet.usage("real").values()]:
-            self.add("real", "memory whole", sum(whole) / len(whole), "bytes", "a process, from its start")
+        self.meter.tell_sizes()
+
+    async def measure(self, phase: str, seconds: float) -> None:
+        self.progress(f"{phase}: {seconds:.0f} s")
+        await self.meter.measure(phase, seconds)
 
     def subjects(self) -> list[str]:
         return ["hollow", "real"] if self.experiment.fleet.real else ["hollow"]
@@ -135,7 +105,7 @@
         everywhere = partial(self.is_everywhere, self.wanted(), len(self.fleet.places))
         await self.until("recovered", phases.recover_within, everywhere)
         if load.changes:
-            self.tell_changes()
+            self.changes.tell(set(self.fleet.places), load.changes, self.add)
 
     @staticmethod
     def is_everywhere(wanted: int, there: int, standing: m.Standing) -> bool:
@@ -197,69 +167,7 @@
         wait = await self.until(metric, self.experiment.phases.recover_within, good)
         self.took(metric, wait, note)
 
-    # Measuring.
-
-    async def measure(self, phase: str, seconds: float) -> None:
-        """Processor time, messages and bytes an ingress and second."""
-        counts = {subject: await self.fleet.count(subject) for subject in self.subjects()}
-        used = {subject: self.fleet.usage(subject) for subject in self.subjects()}
-        began = trio.current_time()
-        self.progress(f"{phase}: {seconds:.0f} s")
-        await trio.sleep(seconds)
-        lasted = trio.current_time() - began
-        for subject in self.subjects():
-            share = 1.0 / lasted / len(self.fleet.names(subject))
-            used_now = self.fleet.usage(subject)
-            cpu = sum(now.cpu - used[subject][pid].cpu for pid, now in used_now.items())
-            self.add(subject, f"cpu {phase}", 100 * cpu * share, "% of a core", "an ingress, loop and all")
-            self.tell_traffic(subject, phase, counts[subject], await self.fleet.count(subject), share)
-
-    def tell_traffic(
-        self, subject: str, phase: str, before: list[m.Counts], after: list[m.Counts], share: float
-    ) -> None:
-        """``share``: by which a sum becomes one of an ingress and second."""
-        messages, sizes = Counter[str](), Counter[str]()
-        for then, now in zip(before, after, strict=True):
-            messages += Counter(now.messages) - Counter(then.messages)
-            sizes += Counter(now.bytes) - Counter(then.bytes)
-        for kind in sorted(messages):
-            self.add(subject, f"messages {phase} {kind}", messages[kind] * share, "1/s", "an ingress")
-            if kind in sizes:
-                self.add(subject, f"bytes {phase} {kind}", sizes[kind] * share, "bytes/s", "an ingress")
-        for way in ("out", "in"):
-            # Requests are counted by their clients: what comes in there goes out at another ingress.
-            kinds = [
-                kind for kind in sizes if kind.startswith((f"{way} datagram", "out request", "in answer"))
-            ]
-            total, note = sum(sizes[kind] for kind in kinds), "an ingress, all that is counted"
-            if kinds:
-                self.add(subject, f"bytes {phase} {way}", total * share, "bytes/s", note)
-        stalls = sum(now.stalls - then.stalls for then, now in zip(before, after, strict=True))
-        self.add(subject, f"stalls {phase}", stalls, "times", "a view was late by a period or more")
-
-    def tell_changes(self) -> None:
-        there = set(self.fleet.places)
-        histograms = {rank: histogram() for rank, _ in RANKS}
-        missing = 0
-        for name in self.changes.accepted:
-            delays = self.changes.delays(name, there)
-            missing += len(there) - len(delays)
-            for rank, share in RANKS:
-                place = max(1, math.ceil(share * len(there)))
-                if len(delays) >= place:
-                    histograms[rank].record_value(max(1, delays[place - 1]))
-        for rank, found in histograms.items():
-            if found.get_total_count():
-                for part in (50.0, 100.0):
-                    value = found.get_value_at_percentile(part) / SECOND
-                    note = f"{'median' if part == 50.0 else 'worst'} of {found.get_total_count()} changes"
-                    self.add("configuration", f"in force at the {rank}, p{part:.0f}", value, "s", note)
-        self.add("configuration", "changes accepted", len(self.changes.accepted), "changes")
-        refused = "; ".join(sorted(set(self.changes.refused))[:3])
-        self.add("configuration", "changes refused", len(self.changes.refused), "changes", refused)
-        not_made = self.experiment.load.changes - len(self.changes.accepted) - len(self.changes.refused)
-        self.add("configuration", "changes not made", not_made, "changes", "their time was over")
-        self.add("configuration", "arrivals missing", missing, "arrivals", "changes times ingresses")
+    # Waiting.
 
     async def until(self, what: str, within: float, good: Callable[[m.Standing], bool]) -> Wait:
         """Wait until all are good, ``within`` seconds at the most."""
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -24,6 +24,7 @@
 from gorsefork.lab.scale.experiment import BadExperiment, Experiment, read
 from gorsefork.lab.scale.fleet import HostProcess
 from gorsefork.lab.scale.hollow import mechanisms
+from gorsefork.lab.scale.host import Host
 from gorsefork.lab.scale.machine import BeyondBounds, Guard
 from gorsefork.lab.scale.messages import Ways
 from gorsefork.lab.scale.report import draw, table
@@ -36,6 +37,7 @@
     datagram_kind,
     owner,
 )
+from gorsefork.memory.clock import Clock
 from gorsefork.wire.http1.client import NoAnswer
 
 EXAMPLES = Path(__file__).parents[1] / "examples" / "lab"
@@ -222,6 +224,18 @@
         return 200, [], b"here"
 
 
+class Hosts(unittest.TestCase):
+    def test_a_change_at_an_ingress_that_has_just_been_killed_is_refused(self) -> None:
+        async def main() -> m.Answer:
+            clock = Clock()
+            async with trio.open_nursery() as nursery:
+                return await Host(clock, nursery).do(m.Change("i7", "00" * 8))
+
+        made = trio.run(main)
+        self.assertIsInstance(made, m.Made)
+        self.assertIn("i7 does not run", str(made))
+
+
 class Paths(unittest.TestCase):
     def test_a_cut_zone_reaches_itself_alone(self) -> None:
         network = Network(1, Ways())
