--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -7,9 +7,9 @@
 import sys
 import tempfile
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 from unittest import mock
 
 import h11
@@ -21,7 +21,7 @@
 from gorsefork.lab.scale import fleet, machine, results
 from gorsefork.lab.scale import messages as m
 from gorsefork.lab.scale import run as playing
-from gorsefork.lab.scale.experiment import BadExperiment, Experiment, read
+from gorsefork.lab.scale.experiment import BadExperiment, Configuration, Experiment, read
 from gorsefork.lab.scale.fleet import HostProcess
 from gorsefork.lab.scale.hollow import mechanisms
 from gorsefork.lab.scale.host import Host
@@ -176,11 +176,6 @@
         self.assertEqual("stopped", found.rows[-1].metric)
         self.assertTrue(all(host.process.returncode is not None for host in started))
 
-    def test_a_mechanism_that_this_version_lacks_is_named(self) -> None:
-        lacking = next(name for name in ("all-to-all", "replicated") if name not in mechanisms())
-        _, stopped = playing.run(read(HEAD.replace(MECHANISM, lacking) + FLEET), quiet)
-        self.assertIn(f"configuration: this version has no {lacking!r}", stopped)
-
     def test_a_host_that_ends_ends_the_run_with_a_reason(self) -> None:
         opened = fleet.opened
 
@@ -224,16 +219,52 @@
         return 200, [], b"here"
 
 
+def begin(configuration: Configuration) -> m.Begin:
+    return m.Begin("site", 1, configuration, "", 1000, 300, 3000, m.Ways())
+
+
+Told = TypeVar("Told")
+
+
+def hosted(what: Callable[[Host], Awaitable[Told]]) -> Told:
+    """What is told by a host in this process, which ends with it."""
+
+    async def main() -> Told:
+        clock = Clock()
+        async with trio.open_nursery() as nursery:
+            host = Host(clock, nursery)
+            told = await what(host)
+            await host.do(m.End())
+        return told
+
+    return trio.run(main)
+
+
 class Hosts(unittest.TestCase):
     def test_a_change_at_an_ingress_that_has_just_been_killed_is_refused(self) -> None:
-        async def main() -> m.Answer:
-            clock = Clock()
-            async with trio.open_nursery() as nursery:
-                return await Host(clock, nursery).do(m.Change("i7", "00" * 8))
+        made = hosted(lambda host: host.do(m.Change("i7", "00" * 8)))
+        assert isinstance(made, m.Made)
+        self.assertEqual("i7 does not run", made.problem)
 
-        made = trio.run(main)
-        self.assertIsInstance(made, m.Made)
-        self.assertIn("i7 does not run", str(made))
+    def test_a_mechanism_that_this_version_lacks_is_named(self) -> None:
+        names: tuple[Configuration, ...] = ("all-to-all", "replicated")
+        lacking = next(name for name in names if name not in mechanisms())
+        failed = hosted(lambda host: host.do(begin(lacking)))
+        assert isinstance(failed, m.Failed)
+        self.assertIn(f"configuration: this version has no {lacking!r}", failed.reason)
+
+    def test_those_that_are_introduced_know_each_other_and_have_no_news(self) -> None:
+        async def introduced(host: Host) -> tuple[m.Answer, m.Answer]:
+            await host.do(begin("none"))
+            started = await host.do(m.Start(tuple(m.Place(f"i{n}", "z0") for n in range(4)), ()))
+            assert isinstance(started, m.Places)
+            await host.do(m.Introduce(started.places))
+            return await host.do(m.Look()), await host.do(m.Count())
+
+        sight, counts = hosted(introduced)
+        assert isinstance(sight, m.Sight) and isinstance(counts, m.Counts)
+        self.assertEqual([4] * 4, [standing.seen for standing in sight.standings])
+        self.assertEqual({}, counts.messages)
 
 
 class Paths(unittest.TestCase):
@@ -379,7 +410,7 @@
                 self.assertGreaterEqual(self.value(f"catch up after {fault}"), 0.0)
                 self.assertGreaterEqual(self.value(f"view again after {fault}"), 0.0)
 
-    def test_each_row_names_its_s_commit_and_its_machine(self) -> None:
+    def test_each_row_names_its_run_its_commit_and_its_machine(self) -> None:
         for row in self.found.rows:
             self.assertEqual(
                 (self.found.run_id, "scale", 6, 7), (row.run_id, row.program, row.size_ingresses, row.seed)
@@ -413,16 +444,6 @@
         self.assertGreater(values["real", "memory whole"], 10 << 20)
 
 
-class Introduced(unittest.TestCase):
-    def test_those_that_know_each_other_have_nothing_to_find(self) -> None:
-        introduced = FLEET.replace("zones = 2", "zones = 2\nintroduced = true")
-        found, stopped = playing.run(read(HEAD.replace(MECHANISM, "none") + introduced + QUICK), quiet)
-        self.assertEqual("", stopped)
-        values = {row.metric: row.value for row in found.rows}
-        self.assertIn("gather", values)
-        self.assertNotIn("messages rest out datagram gossip", values)
-
-
 class CommandLine(unittest.TestCase):
     def test_what_is_not_installed_is_named(self) -> None:
         file = str(next(EXAMPLES.glob("*.toml")))
