--- a/gorsefork/cli/main.py
+++ b/gorsefork/cli/main.py
@@ -25,10 +25,11 @@
     from gorsefork.cli.config import config
     from gorsefork.cli.configuration import configuration
     from gorsefork.cli.fleet import fleet
+    from gorsefork.cli.lab import lab
     from gorsefork.cli.plans import plans
     from gorsefork.cli.usage import usage
 
-    for command in (config, configuration, fleet, plans, usage):
+    for command in (config, configuration, fleet, lab, plans, usage):
         cli.add_command(command)
 
 
