Wait for a process to have told that it settled before it is stopped

Cause, by reading: the rig asks whether the view is settled, and the event is told up to a quarter of a period later; a SIGSTOP between the two left nothing that could become unsettled (1 failure in 3 runs of the file beside other work). The assertion stays as it is.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -135,6 +135,7 @@
             fleet = [first, *await rig.started("n1", "n2", "n3")]
             await rig.settled(*fleet)
             sleeper = fleet[2]
+            await rig.event(sleeper, "fleet.settled")  # is told later than it is so, and only then unsettled
             accused = len(told(sleeper, "fleet.suspect"))
             sleeper.send(signal.SIGSTOP)
             for running in (fleet[0], fleet[1], fleet[3]):
