--- a/gorsefork/life/fleet.py
+++ b/gorsefork/life/fleet.py
@@ -21,7 +21,7 @@
 from gorsefork.wire.stream import address
 
 
-class FileShelf:
+class ViewFileStorage:
     """The view's file, written away from the loop."""
 
     def __init__(self, file: ViewFile) -> None:
@@ -89,8 +89,8 @@
         seeds,
         clock.unix_offset,
     )
-    shelf = FileShelf(file) if file is not None else None
-    return FleetLink(core, sock, clock, log, shelf, changed, settings, seeded=bool(seeds))
+    storage = ViewFileStorage(file) if file is not None else None
+    return FleetLink(core, sock, clock, log, storage, changed, settings, seeded=bool(seeds))
 
 
 def dialable(dial: str) -> bool:
--- a/gorsefork/life/installation.py
+++ b/gorsefork/life/installation.py
@@ -24,7 +24,7 @@
 from gorsefork.plans.contracts import Contracts
 from gorsefork.storage.database import Database, WriteFailed
 from gorsefork.storage.faults import Fault, no_fault
-from gorsefork.storage.recorder import Recorder, Shelf
+from gorsefork.storage.recorder import Recorder, StoreWorker
 from gorsefork.storage.records import DurableRecords
 from gorsefork.storage.uses import DurableStore
 from gorsefork.usage.records import MILLION
@@ -44,8 +44,8 @@
 class DiskStorage:
     """The records' part of the state folder, away from the loop. It shares the lock of the rest."""
 
-    def __init__(self, records: DurableRecords, shelf: Shelf) -> None:
-        self.records, self.shelf = records, shelf
+    def __init__(self, records: DurableRecords, worker: StoreWorker) -> None:
+        self.records, self.worker = records, worker
 
     async def save(self, records: Sequence[Record]) -> None:
         await self.guarded(lambda: self.records.save(records))
@@ -55,7 +55,7 @@
 
     async def guarded(self, what: Callable[[], None]) -> None:
         try:
-            await self.shelf.run(what)
+            await self.worker.run(what)
         except WriteFailed as error:
             raise OSError(str(error)) from None
 
@@ -82,9 +82,9 @@
             except BaseException:
                 self.database.close()
                 raise
-        self.shelf = Shelf(store, threaded=self.database is not None)
+        self.worker = StoreWorker(store, threaded=self.database is not None)
         if self.database is not None:
-            self.storage = DiskStorage(durable, self.shelf)
+            self.storage = DiskStorage(durable, self.worker)
         self.log = Logs(given.log.form, config.name)
         self.recorder: Recorder | None = None
         self.exporter: Exporter | None = None
@@ -104,7 +104,7 @@
             self.storage,
             self.clock,
             self.config.name,
-            str(self.shelf.store.life),
+            str(self.worker.store.life),
             self.terms_changed,
             self.log,
         )
@@ -169,7 +169,7 @@
         assert given is not None
         names = [plan.name for plan in settings.plans], [cls.name for cls in settings.classes]
         self.recorder = recorder = Recorder(
-            self.shelf,
+            self.worker,
             self.clock,
             most_waiting,
             names,
@@ -187,7 +187,7 @@
             self.bearer(self.accounts_key),
         )
         self.exporter = exporter = Exporter(
-            at, self.shelf, self.clock, self.log, self.config.seed, recorder.look
+            at, self.worker, self.clock, self.log, self.config.seed, recorder.look
         )
         self.decider.uses = recorder
 
@@ -241,7 +241,7 @@
         self.exporting.cancel()
         await trio.lowlevel.checkpoint()
         try:
-            await self.shelf.run(self.shelf.store.end)
+            await self.worker.run(self.worker.store.end)
         except Unkept as error:
             self.log(
                 f"the end of this life is told by the next: {error}",
@@ -269,7 +269,7 @@
         peers = self.replication.peers.status()
         return {
             "ingress": self.config.name,
-            "life": str(self.shelf.store.life),
+            "life": str(self.worker.store.life),
             "ready": self.ready(),
             "up_s": round((now - self.began) / SECOND, 3),
             "book": {
@@ -292,11 +292,11 @@
         return {
             "recording": True,
             "durable": self.database is not None,
-            "life": str(self.shelf.store.life),
+            "life": str(self.worker.store.life),
             "recorded": recorder.recorded,
             "units": recorder.micro / MILLION,
             "groups": recorder.groups,
-            "waiting": self.shelf.store.waiting(),
+            "waiting": self.worker.store.waiting(),
             "most_waiting": recorder.admission.most,
             "refusing_calls": recorder.admission.shut,
             "state": shipping.state,
--- a/gorsefork/storage/recorder.py
+++ b/gorsefork/storage/recorder.py
@@ -21,7 +21,7 @@
 PROBE_EVERY = 1.0  # s between looks whether a disk that failed takes something again
 
 
-class Shelf:
+class StoreWorker:
     """A store, used by one thread at a time: ``run`` is fair, and ends what it began even when cancelled."""
 
     def __init__(self, store: UseStore, threaded: bool) -> None:
@@ -53,7 +53,7 @@
 
     def __init__(
         self,
-        shelf: Shelf,
+        worker: StoreWorker,
         clock: Clock,
         most_waiting: int,
         names: tuple[list[str], list[str]],
@@ -61,7 +61,7 @@
         suspend: Callable[[bool, str], None],
         kept: Callable[[], None],
     ) -> None:
-        self.shelf, self.clock, self.kept = shelf, clock, kept
+        self.worker, self.clock, self.kept = worker, clock, kept
         self.open_calls, self.suspend = open_calls, suspend
         self.plans, self.classes = names
         self.admission = Admission(most_waiting)
@@ -92,7 +92,7 @@
             for place, order in enumerate(orders)
         ]
         try:
-            await self.shelf.run(lambda: self.shelf.store.append(uses))
+            await self.worker.run(lambda: self.worker.store.append(uses))
         except Unkept as error:
             self.fault = f"uses cannot be recorded: {error}"
         else:
@@ -105,7 +105,7 @@
 
     async def probe(self) -> None:
         try:
-            await self.shelf.run(self.shelf.store.probe)
+            await self.worker.run(self.worker.store.probe)
         except Unkept as error:
             self.fault = f"uses cannot be recorded: {error}"
         else:
@@ -113,5 +113,5 @@
 
     def look(self) -> None:
         """Shut admission or open it, as what waits says; also called when the accounts have taken some."""
-        if self.admission.look(self.shelf.store.waiting(), self.open_calls(), self.fault):
+        if self.admission.look(self.worker.store.waiting(), self.open_calls(), self.fault):
             self.suspend(bool(self.admission.shut), self.admission.shut)
--- a/gorsefork/wire/services/accounts.py
+++ b/gorsefork/wire/services/accounts.py
@@ -20,7 +20,7 @@
 T = TypeVar("T")
 
 
-class Shelf(Protocol):
+class StoreWorker(Protocol):
     """A store of uses that may wait for a disk: ``run`` does one thing at a time, away from the loop."""
 
     store: UseStore
@@ -45,9 +45,15 @@
     """Actor. Sends the oldest that is not acknowledged, and the next when that is; never drops any."""
 
     def __init__(
-        self, at: AccountsAt, shelf: Shelf, clock: Clock, log: Log, seed: int, changed: Callable[[], None]
+        self,
+        at: AccountsAt,
+        worker: StoreWorker,
+        clock: Clock,
+        log: Log,
+        seed: int,
+        changed: Callable[[], None],
     ) -> None:
-        self.at, self.shelf, self.clock, self.log, self.changed = at, shelf, clock, log, changed
+        self.at, self.worker, self.clock, self.log, self.changed = at, worker, clock, log, changed
         self.client = HttpClient(at.dial, at.authorization, most_body=65536)
         self.shipping = Shipping(at.most, at.flush_us, random.Random(seed))
         self.bell = trio.Event()
@@ -55,7 +61,7 @@
 
     def recorded(self) -> None:
         """There is more; called whenever something was kept."""
-        self.shipping.recorded(max(1, self.shelf.store.waiting()), self.clock.now)
+        self.shipping.recorded(max(1, self.worker.store.waiting()), self.clock.now)
         self.bell.set()
 
     def hurry(self) -> None:
@@ -81,7 +87,7 @@
         """One batch; whether there was one and it was kept."""
         self.shipping.begin()
         try:
-            batch = await self.shelf.run(lambda: self.shelf.store.batch(self.shipping.size))
+            batch = await self.worker.run(lambda: self.worker.store.batch(self.shipping.size))
         except Unkept as error:
             self.shipping.ended(0, None, 1, self.clock.now)
             self.shipping.problem = f"what waits cannot be read: {error}"
@@ -99,7 +105,7 @@
         if status == 200 and upto is not None and upto >= batch.first - 1:
             kept, closed = upto, batch.closed and upto == batch.last
             try:
-                await self.shelf.run(lambda: self.shelf.store.acknowledge(batch.life, kept, closed))
+                await self.worker.run(lambda: self.worker.store.acknowledge(batch.life, kept, closed))
             except Unkept as error:
                 # Guards against a full disk, which does not take this either: they are sent it once more.
                 status, upto, fault = 0, None, f"what the accounts have cannot be noted: {error}"
@@ -112,9 +118,9 @@
                 event="usage.acknowledged",
                 life=batch.life,
                 upto=upto,
-                waiting=self.shelf.store.waiting(),
+                waiting=self.worker.store.waiting(),
             )
-            self.shipping.recorded(max(1, self.shelf.store.waiting()), self.clock.now)
+            self.shipping.recorded(max(1, self.worker.store.waiting()), self.clock.now)
         elif verdict != self.state:
             self.log(
                 self.shipping.problem,
--- a/gorsefork/wire/services/fleet_link.py
+++ b/gorsefork/wire/services/fleet_link.py
@@ -76,7 +76,7 @@
     seen: bool
 
 
-class Shelf(Protocol):
+class ViewStorage(Protocol):
     """Where dials, life and pace are kept for the next life."""
 
     async def save(self, life: int, dials: tuple[str, ...], pace: dict[str, int]) -> None: ...
@@ -111,12 +111,12 @@
         sock: socket.socket,
         clock: Clock,
         log: Log,
-        shelf: Shelf | None,
+        storage: ViewStorage | None,
         changed: Callable[[], None],
         given: Settings,
         seeded: bool = False,
     ) -> None:
-        self.core, self.sock, self.clock, self.log, self.shelf = core, sock, clock, log, shelf
+        self.core, self.sock, self.clock, self.log, self.storage = core, sock, clock, log, storage
         self.changed, self.given, self.seeded = changed, given, seeded
         self.rearmed = trio.Event()
         self.told: deque[Told] = deque(maxlen=MOST_EVENTS)
@@ -140,8 +140,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.hear)
             nursery.start_soon(self.keep_time)
-            if self.shelf is not None:
-                nursery.start_soon(self.keep_saved, self.shelf)
+            if self.storage is not None:
+                nursery.start_soon(self.keep_saved, self.storage)
 
     async def hear(self) -> None:
         while True:
@@ -210,7 +210,7 @@
             self.changed()
         self.rearmed.set()
 
-    async def keep_saved(self, shelf: Shelf) -> None:
+    async def keep_saved(self, storage: ViewStorage) -> None:
         before: object = None
         while True:
             dials = sorted(
@@ -220,7 +220,7 @@
             pace = {name: value for name, value in given if value is not None}
             if (now := (self.core.life, tuple(dials), pace)) != before:
                 try:
-                    await shelf.save(*now)
+                    await storage.save(*now)
                     before = now
                 except OSError as error:
                     self.log(f"the view is not kept: {error}", event="fleet.unkept", reason=str(error))
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -15,7 +15,7 @@
 
 from gorsefork.memory.clock import Clock
 from gorsefork.storage.database import Database
-from gorsefork.storage.recorder import Recorder, Shelf
+from gorsefork.storage.recorder import Recorder, StoreWorker
 from gorsefork.storage.uses import DurableStore
 from gorsefork.usage.records import Batch, Form
 from gorsefork.usage.store import Unkept, UseStore, VolatileStore
@@ -45,10 +45,16 @@
     async with trio.open_nursery() as nursery:
         await accounts.open(nursery)
         at = AccountsAt(accounts.dial, "/v1/usage", form, 10, 1000, 0.1, "Bearer secret")
-        shelf, told = Shelf(store, threaded), list[bool]()
-        exporter = Exporter(at, shelf, clock, log, 1, lambda: None)
+        worker, told = StoreWorker(store, threaded), list[bool]()
+        exporter = Exporter(at, worker, clock, log, 1, lambda: None)
         recorder = Recorder(
-            shelf, clock, 100_000, (["rated"], ["look"]), lambda: 0, lambda shut, why: None, exporter.recorded
+            worker,
+            clock,
+            100_000,
+            (["rated"], ["look"]),
+            lambda: 0,
+            lambda shut, why: None,
+            exporter.recorded,
         )
         nursery.start_soon(recorder.run)
         exporting = trio.CancelScope()
@@ -69,7 +75,7 @@
         exporting.cancel()
         await trio.lowlevel.checkpoint()
         exporter.shipping.nothing()
-        await shelf.run(store.end)
+        await worker.run(store.end)
         await exporter.flush()
         assert told == [True] * USES
         nursery.cancel_scope.cancel()
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -11,7 +11,7 @@
 import trio
 from scenario import CUSTOMER, World, scenario
 
-from gorsefork.storage.recorder import Shelf
+from gorsefork.storage.recorder import StoreWorker
 from gorsefork.usage.records import Use, decode
 from gorsefork.usage.store import Unkept
 from gorsefork.usage.verify import Ledger
@@ -26,11 +26,11 @@
     return f'[state]\nfolder = "{folder}/s{{n}}"\nsync = "normal"\n' + USAGE
 
 
-class Broken(Shelf):
+class Broken(StoreWorker):
     """A store whose disk does what the test says: ``gate`` holds up each write, ``fault`` fails it."""
 
-    def __init__(self, shelf: Shelf) -> None:
-        super().__init__(shelf.store, threaded=False)
+    def __init__(self, worker: StoreWorker) -> None:
+        super().__init__(worker.store, threaded=False)
         self.gate = trio.Event()
         self.fault = ""
         self.stuck = trio.Event()
@@ -46,8 +46,8 @@
 def broken(world: World) -> Broken:
     extra = world.ingresses[0].extra
     assert extra is not None and extra.recorder is not None
-    extra.recorder.shelf = shelf = Broken(extra.shelf)
-    return shelf
+    extra.recorder.worker = worker = Broken(extra.worker)
+    return worker
 
 
 async def batch(world: World) -> Any:
@@ -82,32 +82,32 @@
 
 def test_an_answer_waits_for_its_record_and_no_longer_than_its_call() -> None:
     async def main(world: World) -> None:
-        shelf = broken(world)
+        worker = broken(world)
         await world.play(ASK + "box send 200 | hall")
-        await shelf.stuck.wait()
+        await worker.stuck.wait()
         with trio.move_on_after(0.05):
             assert not await world.clients["c1"].stream.receive_some()
             raise AssertionError("the answer went before its record")
-        shelf.gate.set()
+        worker.gate.set()
         await world.play("c1 expect 200 | hall")
-        shelf.gate = trio.Event()
+        worker.gate = trio.Event()
         await world.play("""c1 send GET /look X-Expires-In-Ms=150
             box expect GET /look
             box send 200 | hall
             c1 expect 502""")
-        shelf.gate.set()
+        worker.gate.set()
 
     scenario("", operator=USAGE, then=main)
 
 
 def test_a_record_that_fails_fails_its_call_shuts_the_door_and_opens_it_when_the_disk_is_well() -> None:
     async def main(world: World) -> None:
-        shelf = broken(world)
-        shelf.gate.set()
-        shelf.fault = "database or disk is full"
+        worker = broken(world)
+        worker.gate.set()
+        worker.fault = "database or disk is full"
         await world.play(ASK + "box send 200 | hall\nc1 expect 502")
         await world.play("c1 send GET /look\nc1 expect 503 Retry-After\nbox wait idle")
-        shelf.fault = ""
+        worker.fault = ""
         extra = world.ingresses[0].extra
         assert extra is not None and extra.recorder is not None
         await extra.recorder.probe()
@@ -194,11 +194,11 @@
 
 def test_a_client_that_leaves_while_its_use_is_recorded_is_forgotten_and_charged_once() -> None:
     async def main(world: World) -> None:
-        shelf = broken(world)
+        worker = broken(world)
         await world.play(ASK + "box send 200 | hall")
-        await shelf.stuck.wait()
+        await worker.stuck.wait()
         await world.play("c1 close")
-        shelf.gate.set()
+        worker.gate.set()
         assert len((await batch(world)).uses) == 1
         while world.ingresses[0].decider.calls:
             await trio.lowlevel.checkpoint()
@@ -212,7 +212,7 @@
         extra = world.ingresses[0].extra
         assert extra is not None and extra.recorder is not None
         recorder, release, told = extra.recorder, threading.Event(), list[bool]()
-        store, writes = recorder.shelf.store, list[list[Use]]()
+        store, writes = recorder.worker.store, list[list[Use]]()
         append = store.append
 
         def slow(uses: Any) -> None:
