Set the all-to-all feed's scale run and the bounded choice beside what was before

New tables: before and after with their commits, and runs size by size. A run names the last commit that changed the program. Rack, zone, region and a start of all are measured in virtual time; not run yet, the machine is full.

--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -29,7 +29,7 @@
 
 class Slope(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One figure. ``target``: the size it is wanted for; ``held_out``: the one that its fit does not see, 0
-    for none. ``program``: only results of that one."""
+    for none. ``run``: part of the ids of the runs that count; ``commit``: only results of that one."""
 
     name: str
     subject: str
@@ -38,7 +38,8 @@
     target: float
     model: Model = "linear"
     held_out: float = 0.0
-    program: str = ""
+    run: str = ""
+    commit: str = ""
 
 
 class SlopeFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -63,7 +64,12 @@
     @property
     def runs(self) -> list[str]:
         """Their short names."""
-        found = sorted(self.results, key=began)
+        return self.runs_of(None)
+
+    def runs_of(self, size: float | None) -> list[str]:
+        """The short names of those with that size, or of all."""
+        found = [each for each in self.results if size in (None, size_of(each, self.slope.over))]
+        found.sort(key=began)
         return list(dict.fromkeys(self.labels.get(each.run_id, each.run_id) for each in found))
 
     @property
@@ -133,7 +139,7 @@
 
 def belongs(slope: Slope, result: Result) -> bool:
     named = (result.subject, result.metric) == (slope.subject, slope.metric)
-    return named and slope.program in ("", result.program)
+    return named and slope.run in result.run_id and slope.commit in ("", result.commit)
 
 
 class Figures:
--- a/benchmarks/capacity/measurements.py
+++ b/benchmarks/capacity/measurements.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from benchmarks.capacity.results import ROOT, Measured, Size
+from benchmarks.capacity.virtual_faults import measure_faults
 from gorsefork.decisions import Gatekeeper
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import CALLS_ALL, CALLS_ALL_LEAST, CALLS_LEAST, CALLS_START
@@ -34,6 +35,7 @@
 UDP_AND_IP = 28  # bytes of heads of one datagram
 UNIX = 1_800_000_000_000_000  # us
 
+FAULTS_SIZES = (6, 12, 24, 60, 120)
 VIEW_SIZES = (20, 60, 120, 240, 480, 620, 1024)
 CHANGES_SIZES = (2_000, 5_000, 10_000, 20_000, 40_000, 62_000)
 BACKENDS_SIZES = (53, 160, 530, 1060, 2120, 3180, 5300)
@@ -398,6 +400,7 @@
 
 MEASUREMENTS = {
     "view": Measurement(measure_view, VIEW_SIZES, (1, 2, 3), 120),
+    "faults": Measurement(measure_faults, FAULTS_SIZES, (1,)),
     "plan-book": Measurement(measure_plan_book, CHANGES_SIZES, (1,)),
     "decisions": Measurement(measure_decisions, BACKENDS_SIZES),
     "discovery": Measurement(measure_discovery, BACKENDS_SIZES),
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -4,11 +4,20 @@
 
 import re
 from collections.abc import Callable, Sequence
+from fnmatch import fnmatch
 from pathlib import Path
 
 import msgspec
 
-from benchmarks.capacity.figures import Figure, Figures, UnknownFigure, read_slopes
+from benchmarks.capacity.figures import (
+    Figure,
+    Figures,
+    Over,
+    UnknownFigure,
+    latest_by_size,
+    read_slopes,
+    size_of,
+)
 from benchmarks.capacity.fits import Fit, Prediction
 from benchmarks.capacity.results import FOLDER, ROOT, BadResults, Result, kept_results
 from benchmarks.capacity.shown import filled, interval, measured, number, source, with_unit
@@ -90,6 +99,18 @@
     pair: tuple[Pair, ...]
 
 
+class Series(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Which metrics of one program's runs are shown size by size; ``*`` stands for anything."""
+
+    program: str
+    over: Over
+    metrics: tuple[str, ...]
+
+
+class SeriesFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    series: tuple[Series, ...]
+
+
 def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
     lines = [head, ["---"] * len(head), *rows]
     return "".join(f"| {' | '.join(cell.replace('|', '/') for cell in line)} |\n" for line in lines)
@@ -220,11 +241,45 @@
     before, after = figures[pair.before], figures[pair.after]
     cells = [pair.what]
     for figure in (before, after):
-        found = measured(figure, figure.slope.target)
+        again = figure is after and figure.commit == before.commit
+        found = None if again else measured(figure, figure.slope.target)
         cells += [found, figure.commit] if found else ["not known: not measured yet", EMPTY]
     return tuple(cells)
 
 
+# What larger runs measured, size by size.
+
+
+def by_size_table(figures: Figures, results: Sequence[Result]) -> str:
+    series = msgspec.toml.decode((TEXTS / "by_size.toml").read_bytes(), type=SeriesFile).series
+    rows = [row for each in series for row in series_rows(each, figures, results)]
+    return table(("what", "experiment", "commit", "by size"), rows) if rows else "No such run is kept yet.\n"
+
+
+def series_rows(series: Series, figures: Figures, results: Sequence[Result]) -> list[tuple[str, ...]]:
+    """A row for each metric, experiment and commit; one value for each size, of the latest run."""
+    groups: dict[tuple[str, str, str], list[Result]] = {}
+    for result in results:
+        if result.program == series.program and any(fnmatch(result.metric, one) for one in series.metrics):
+            what = f"{result.subject}: {result.metric}"
+            groups.setdefault((what, experiment_of(result), result.commit), []).append(result)
+    rows = []
+    for (what, experiment, commit), some in sorted(groups.items()):
+        latest = latest_by_size(some, series.over)
+        cells = [
+            f"{number(size_of(each, series.over))}: {with_unit(each.value, each.unit)} "
+            f"[{figures.labels[each.run_id]}]"
+            for each in sorted(latest, key=lambda each: size_of(each, series.over))
+        ]
+        rows.append((what, experiment, commit, "; ".join(cells)))
+    return rows
+
+
+def experiment_of(result: Result) -> str:
+    """A run's id without its time and its seed."""
+    return re.sub(r"-?20\d{6}[T-]\d{6}Z?(-\d+$)?-?", "", result.run_id)
+
+
 # Roles, faults, runs.
 
 
@@ -270,6 +325,7 @@
     "target": target_table,
     "slopes": slopes_table,
     "before-and-after": pairs_table,
+    "by-size": by_size_table,
     "roles": roles_table,
     "faults": faults_table,
     "runs": runs_table,
--- a/benchmarks/capacity/results.py
+++ b/benchmarks/capacity/results.py
@@ -98,8 +98,8 @@
 
 
 def current_commit() -> str:
-    """The short hash of what is checked out, with ``+`` where the program itself differs from it."""
-    commit = git("rev-parse", "--short=7", "HEAD")
+    """The last one that changed the program, with ``+`` where the program differs from it."""
+    commit = git("log", "-1", "--format=%h", "--abbrev=7", "--", "gorsefork")
     return commit + ("+" if git("status", "--porcelain", "--", "gorsefork") else "")
 
 
--- a/benchmarks/capacity/shown.py
+++ b/benchmarks/capacity/shown.py
@@ -14,6 +14,7 @@
 
 PLACEHOLDER = re.compile(r"\{([a-z][a-z0-9_]*)(?:\.(predicted))?(?:@(\d+))?\}")
 BYTES = ((1e9, "GB"), (1e6, "MB"), (1e3, "KB"), (1.0, "B"))
+OTHER_NAMES = {"bytes": "B", "bytes/s": "B/s"}
 TIMES = ((1e6, "s"), (1e3, "ms"), (1.0, "us"))
 
 
@@ -32,6 +33,7 @@
 
 
 def with_unit(value: float, unit: str) -> str:
+    unit = OTHER_NAMES.get(unit, unit)
     if unit in ("B", "B/s"):
         return scaled(value, BYTES) + unit.removeprefix("B")
     if unit == "MB":
@@ -40,6 +42,8 @@
         return scaled(value * {"us": 1.0, "ms": 1e3, "s": 1e6}[unit], TIMES)
     if unit == "us/s":
         return f"{number(value / 1e4)}% of a core"
+    if unit == "% of a core":
+        return f"{number(value)}% of a core"
     return f"{number(value)} {unit}".replace(" 1/s", " a second").strip()
 
 
@@ -50,13 +54,14 @@
     return middle if low == middle == high else f"{middle} ({low} to {high})"
 
 
-def source(figure: Figure) -> str:
-    return f"[{', '.join([*figure.runs, *(['arithmetic'] if figure.arithmetic else [])])}]"
+def source(figure: Figure, size: float | None = None) -> str:
+    """The runs of a figure, of one size where that is given."""
+    return f"[{', '.join([*figure.runs_of(size), *(['arithmetic'] if figure.arithmetic else [])])}]"
 
 
 def measured(figure: Figure, size: float) -> str | None:
     value = figure.measured(size)
-    return None if value is None else f"{with_unit(value, figure.unit)} {source(figure)}"
+    return None if value is None else f"{with_unit(value, figure.unit)} {source(figure, size)}"
 
 
 def predicted(figure: Figure, size: float) -> str | None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,7 +11,17 @@
 from benchmarks.capacity.figures import Figure, Figures, Slope, UnknownFigure
 from benchmarks.capacity.fits import TooFewSizes, fit
 from benchmarks.capacity.imports import import_file
-from benchmarks.capacity.page import PAGE, BadText, Line, Role, differences, role_table, target_row
+from benchmarks.capacity.page import (
+    PAGE,
+    BadText,
+    Line,
+    Role,
+    Series,
+    differences,
+    role_table,
+    series_rows,
+    target_row,
+)
 from benchmarks.capacity.results import BadResults, Measured, Result, Run, Size, read_results, write_results
 from benchmarks.capacity.shown import filled, with_unit
 
@@ -231,3 +241,22 @@
         "ms",
     )
     assert p99.commit == "abc1234"
+
+
+def test_runs_of_one_experiment_are_shown_by_size() -> None:
+    runs = [
+        Run("all-to-all-20261202T050000Z-32", "abc1234", "m", "scale"),
+        Run("all-to-all-20261202T060000Z-32", "abc1234", "m", "scale"),
+    ]
+    results = [
+        each
+        for run, size in zip(runs, (40, 80), strict=True)
+        for each in (
+            run.result(Measured("hollow", "cpu rest", Size(ingresses=size), size / 10, "% of a core")),
+            run.result(Measured("hollow", "left out", Size(ingresses=size), 1.0, "")),
+        )
+    ]
+    series = Series("scale", "ingresses", ("cpu *",))
+    assert series_rows(series, Figures([], results), results) == [
+        ("hollow: cpu rest", "all-to-all", "abc1234", "40: 4% of a core [r1]; 80: 8% of a core [r2]")
+    ]
