--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -263,7 +263,7 @@
         if result.program == series.program and any(fnmatch(result.metric, one) for one in series.metrics):
             what = f"{result.subject}: {result.metric}"
             groups.setdefault((what, experiment_of(result), result.commit), []).append(result)
-    rows = []
+    rows: list[tuple[str, ...]] = []
     for (what, experiment, commit), some in sorted(groups.items()):
         latest = latest_by_size(some, series.over)
         cells = [
--- a/benchmarks/capacity/virtual_faults.py
+++ b/benchmarks/capacity/virtual_fleet.py
@@ -1,10 +1,11 @@
-"""What the fleet's view does when many fail at once: a rack, a zone, a region, all starting together.
+"""Fleets of the real membership core in virtual time, and what their view does when many fail at once.
 
-The real membership core in virtual time (``tests/fleet_world.py``), without sockets and without loss.
+By ``tests/fleet_world.py``, without sockets and without loss.
 """
 
 from __future__ import annotations
 
+import random
 import sys
 from collections.abc import Callable
 
@@ -23,6 +24,19 @@
 LONGEST = 300.0  # s of virtual time that anything may take
 
 
+def rested(members: int, seed: int) -> World:
+    """A fleet whose members know each other, after a second."""
+    return grown(members, seed, 0.0, DELAY, 1.0)
+
+
+def seconds_until_called_dead(world: World, seed: int) -> float:
+    """Kill one, and wait until all others call it unreachable."""
+    victim = f"n{random.Random(seed).randrange(len(world.places))}"
+    others = [name for name in world.places if name != victim]
+    world.kill(victim)
+    return world.run_until(lambda: all(world.shown(n, victim) == "unreachable" for n in others), LONGEST, 0.5)
+
+
 class Meter:
     """Time and bytes from here on, and what the same time costs at rest."""
 
