Take in what an ingress adds to a request before and after lists are applied in pieces

Lines of benchmarks/added_latency.py name trees by their folder; the importer is told which commit each is.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -24,8 +24,9 @@
     from benchmarks.capacity.imports import import_file
 
     found: list[Result] = []
+    commits = dict(each.split("=", 1) for each in given.tree)
     for file in given.files:
-        found += import_file(Path(file), given.commit)
+        found += import_file(Path(file), commits)
     for path in write_results(found):
         print(f"{path.name}: kept")
     return 0
@@ -57,7 +58,11 @@
     kept = parts.add_parser("import", help="keep the results of another program's run")
     kept.add_argument("files", nargs="+", metavar="FILE")
     kept.add_argument(
-        "--commit", default="", help="that they were measured on; the file's own where it says so"
+        "--tree",
+        action="append",
+        default=[],
+        metavar="TREE=COMMIT",
+        help="which commit a tree is that a file of added_latency names by its folder",
     )
     kept.set_defaults(do=bring_in)
     parts.add_parser("report", help="write the page's tables anew").set_defaults(do=report)
--- a/benchmarks/capacity/imports.py
+++ b/benchmarks/capacity/imports.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
@@ -27,35 +28,38 @@
 FROM_FIRST_LINE = ("run_id", "commit", "machine", "program")
 
 
-def import_file(path: Path, commit: str = "") -> list[Result]:
-    """``BadResults`` names the file, the line and the fault. ``commit`` takes the place of the file's own."""
-    found = read_results([path]) if path.suffix == ".parquet" else read_lines(path)
-    return [msgspec.structs.replace(each, commit=commit) for each in found] if commit else found
+def import_file(path: Path, commits: Mapping[str, str] | None = None) -> list[Result]:
+    """``commits``: that of each tree which a file names by its folder. ``BadResults`` names file, line
+    and fault."""
+    return read_results([path]) if path.suffix == ".parquet" else read_lines(path, commits or {})
 
 
-def read_lines(path: Path) -> list[Result]:
+def read_lines(path: Path, commits: Mapping[str, str]) -> list[Result]:
     found: list[Result] = []
     common: dict[str, Any] = {}
+    runs: dict[str, Run] = {}  # of ``benchmarks/added_latency.py``, by tree
     for place, line in enumerate(path.read_bytes().splitlines(), 1):
         if not line.strip():
             continue
         try:
             row: dict[str, Any] = {**common, **msgspec.json.decode(line, type=dict[str, Any])}
             if "added_p99_ms" in row:
-                found += added_latency(row, path)
+                tree = Path(str(row["tree"])).name
+                if tree not in runs:
+                    runs[tree] = latency_run(path, commits.get(tree, ""), len(runs))
+                found += added_latency(row, runs[tree])
                 continue
             common = common or {key: row[key] for key in FROM_FIRST_LINE if key in row}
             if row.keys() <= set(FROM_FIRST_LINE):
                 continue
             found.append(msgspec.convert(without_gaps(row), Result, strict=False))
-        except (msgspec.DecodeError, KeyError) as error:
+        except (msgspec.DecodeError, KeyError, ValueError) as error:
             raise BadResults(f"{path.name}, line {place}: {error}") from None
     return found
 
 
 LATENCY_UNITS = {
     "requests": "",
-    "failed": "",
     "list_changes": "",
     "p50_ms": "ms",
     "p99_ms": "ms",
@@ -68,13 +72,27 @@
 }
 
 
-def added_latency(row: dict[str, Any], path: Path) -> list[Result]:
-    """A line of ``benchmarks/added_latency.py``: one way (direct, forwarder, ingress) at one size. The file's
-    time is the run's, as the line has none."""
-    moment = datetime.fromtimestamp(path.stat().st_mtime, UTC).strftime("%Y%m%d-%H%M%S")
-    run = Run(f"{moment}-{path.stem}", str(row["tree"]), describe_machine(), "benchmarks.added_latency")
+def latency_run(path: Path, commit: str, place: int) -> Run:
+    """The lines have no time: it is the file's, and a second more for each later tree."""
+    if not commit:
+        raise BadResults(f"{path.name}: say of each tree which commit it is, as TREE=COMMIT")
+    moment = datetime.fromtimestamp(path.stat().st_mtime + place, UTC).strftime("%Y%m%d-%H%M%S")
+    return Run(
+        f"{moment}-added-latency", commit, describe_machine("load not told"), "benchmarks.added_latency"
+    )
+
+
+def added_latency(row: dict[str, Any], run: Run) -> list[Result]:
+    """A line of ``benchmarks/added_latency.py``: one way (direct, forwarder, ingress) at one size."""
     size = Size(int(row["ingresses"]), int(row["backends"]))
+    found = [(metric, float(row[metric]), unit) for metric, unit in LATENCY_UNITS.items()]
+    found.append(("failed", number_failed(str(row["failed"])), ""))
     return [
-        run.result(Measured(f"added latency: {row['way']}", metric, size, float(row[metric]), unit))
-        for metric, unit in LATENCY_UNITS.items()
+        run.result(Measured(f"added latency: {row['way']}", metric, size, value, unit))
+        for metric, value, unit in found
     ]
+
+
+def number_failed(text: str) -> float:
+    """Of ``3 x 503, 1 x 0``, the number of each status; or of a plain number."""
+    return float(sum(int(part.split(" x ")[0]) for part in text.split(", ")))
--- a/benchmarks/capacity/results.py
+++ b/benchmarks/capacity/results.py
@@ -108,10 +108,11 @@
     return ended.stdout.strip()
 
 
-def describe_machine() -> str:
-    """Without its name: cores, what runs on them, and how busy they were."""
-    load = os.getloadavg()[0]
-    return f"{os.cpu_count()} cores, Python {platform.python_version()}, load {load:.1f}, CPU time"
+def describe_machine(load: str = "") -> str:
+    """Without its name: cores, what runs on them, and how busy they are, unless ``load`` tells of another
+    time."""
+    busy = load or f"load {os.getloadavg()[0]:.1f}"
+    return f"{os.cpu_count()} cores, Python {platform.python_version()}, {busy}"
 
 
 def write_results(results: Sequence[Result], folder: Path = FOLDER) -> list[Path]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -221,10 +221,10 @@
 
 
 def test_lines_of_added_latency_are_brought_in(tmp_path: Path) -> None:
-    line = {"tree": "abc1234", "backends": 5300, "ingresses": 620, "way": "ingress", "list_changes": 6}
+    line = {"tree": "/somewhere/new", "backends": 5300, "ingresses": 620, "way": "ingress", "list_changes": 6}
     line |= {
         "requests": 2580,
-        "failed": 0,
+        "failed": "3 x 503, 1 x 0",
         "p50_ms": 9.0,
         "p99_ms": 20.0,
         "worst_ms": 30.0,
@@ -233,7 +233,9 @@
     line |= {"added_p99_ms": 2.5, "stall_ms": 12.0, "cpu_us": 900.0, "rss_mb": 41.0}
     file = tmp_path / "added.jsonl"
     file.write_bytes(msgspec.json.encode(line) + b"\n")
-    found = {each.metric: each for each in import_file(file)}
+    with pytest.raises(BadResults, match="TREE=COMMIT"):
+        import_file(file)
+    found = {each.metric: each for each in import_file(file, {"new": "abc1234"})}
     p99 = found["added_p99_ms"]
     assert (p99.subject, p99.size_backends, p99.value, p99.unit) == (
         "added latency: ingress",
@@ -241,7 +243,7 @@
         2.5,
         "ms",
     )
-    assert p99.commit == "abc1234"
+    assert p99.commit == "abc1234" and found["failed"].value == 4.0
 
 
 def test_runs_of_one_experiment_are_shown_by_size() -> None:
