--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -100,11 +100,13 @@
 
 
 class Series(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Which metrics of one program's runs are shown size by size; ``*`` stands for anything."""
+    """Which metrics of one program's runs are shown size by size; ``*`` stands for anything. ``with_note``:
+    those that one run has several times, told apart by their notes."""
 
     program: str
     over: Over
     metrics: tuple[str, ...]
+    with_note: tuple[str, ...] = ()
 
 
 class SeriesFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -253,28 +255,33 @@
 def by_size_table(figures: Figures, results: Sequence[Result]) -> str:
     series = msgspec.toml.decode((TEXTS / "by_size.toml").read_bytes(), type=SeriesFile).series
     rows = [row for each in series for row in series_rows(each, figures, results)]
-    return table(("what", "experiment", "commit", "by size"), rows) if rows else "No such run is kept yet.\n"
+    return table(("what", "experiment", "by size"), rows) if rows else "No such run is kept yet.\n"
 
 
 def series_rows(series: Series, figures: Figures, results: Sequence[Result]) -> list[tuple[str, ...]]:
-    """A row for each metric, experiment and commit; one value for each size, of the latest run."""
-    groups: dict[tuple[str, str, str], list[Result]] = {}
+    """A row for each metric and experiment; one value for each size, of the latest run."""
+    groups: dict[tuple[str, str], list[Result]] = {}
     for result in results:
         if result.program == series.program and any(fnmatch(result.metric, one) for one in series.metrics):
-            what = f"{result.subject}: {result.metric}"
-            groups.setdefault((what, experiment_of(result), result.commit), []).append(result)
+            groups.setdefault((what_of(series, result), experiment_of(result)), []).append(result)
     rows: list[tuple[str, ...]] = []
-    for (what, experiment, commit), some in sorted(groups.items()):
+    for (what, experiment), some in sorted(groups.items()):
         latest = latest_by_size(some, series.over)
         cells = [
             f"{number(size_of(each, series.over))}: {with_unit(each.value, each.unit)} "
             f"[{figures.labels[each.run_id]}]"
             for each in sorted(latest, key=lambda each: size_of(each, series.over))
         ]
-        rows.append((what, experiment, commit, "; ".join(cells)))
+        rows.append((what, experiment, "; ".join(cells)))
     return rows
 
 
+def what_of(series: Series, result: Result) -> str:
+    """The metric; with the beginning of its note where one run has it several times."""
+    about = result.note.split(";")[0] if result.metric in series.with_note else ""
+    return f"{result.subject}: {result.metric}" + (f", {about}" if about else "")
+
+
 def experiment_of(result: Result) -> str:
     """A run's id without its time and its seed."""
     return re.sub(r"-?20\d{6}[T-]\d{6}Z?(-\d+$)?-?", "", result.run_id)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -261,5 +261,5 @@
     ]
     series = Series("scale", "ingresses", ("cpu *",))
     assert series_rows(series, Figures([], results), results) == [
-        ("hollow: cpu rest", "all-to-all", "abc1234", "40: 4% of a core [r1]; 80: 8% of a core [r2]")
+        ("hollow: cpu rest", "all-to-all", "40: 4% of a core [r1]; 80: 8% of a core [r2]")
     ]
