Set replicated configuration beside all-to-all: what a change, a burst and rest cost

Lines of benchmarks/configuration_spread.py are taken in; a fit is no longer asked about a size of 0.

--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -20,7 +20,7 @@
 )
 from benchmarks.capacity.fits import Fit, Prediction
 from benchmarks.capacity.results import FOLDER, ROOT, BadResults, Result, kept_results
-from benchmarks.capacity.shown import filled, interval, measured, number, source, with_unit
+from benchmarks.capacity.shown import at_target, filled, interval, number, source, with_unit
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 TEXTS = Path(__file__).parent
@@ -222,8 +222,9 @@
 
 def held_out(figure: Figure) -> str:
     size = figure.slope.held_out
-    value, prediction = figure.measured(size), figure.predicted(size)
-    if not size or value is None or prediction is None:
+    value = figure.measured(size)
+    prediction = figure.predicted(size) if size else None
+    if value is None or prediction is None:
         return "none"
     inside = prediction.low <= value <= prediction.high
     told = f"{number(size)}: {with_unit(value, figure.unit)}, {interval(prediction, figure.unit)}"
@@ -244,7 +245,7 @@
     cells = [pair.what]
     for figure in (before, after):
         again = figure is after and figure.commit == before.commit
-        found = None if again else measured(figure, figure.slope.target)
+        found = None if again else at_target(figure)
         cells += [found, figure.commit] if found else ["not known: not measured yet", EMPTY]
     return tuple(cells)
 
--- a/benchmarks/capacity/shown.py
+++ b/benchmarks/capacity/shown.py
@@ -40,6 +40,8 @@
         return scaled(value * 1e6, BYTES)
     if unit in ("us", "ms", "s"):
         return scaled(value * {"us": 1.0, "ms": 1e3, "s": 1e6}[unit], TIMES)
+    if unit == "ms/s":
+        value, unit = 1e3 * value, "us/s"
     if unit == "us/s":
         return f"{number(value / 1e4)}% of a core"
     if unit == "% of a core":
@@ -69,6 +71,18 @@
     return None if prediction is None else f"{interval(prediction, figure.unit)} {source(figure)}"
 
 
+def at_target(figure: Figure) -> str | None:
+    """What was measured at the target's size, or what is predicted for it."""
+    size = figure.slope.target
+    return measured(figure, size) or predicted(figure, size)
+
+
+def wanted(figure: Figure, size: float, predicts: bool, exactly_there: bool) -> str | None:
+    if predicts:
+        return predicted(figure, size)
+    return measured(figure, size) if exactly_there else at_target(figure)
+
+
 def filled(text: str, figures: Figures) -> str:
     """``UnknownFigure`` for a name that has no result."""
 
@@ -76,9 +90,7 @@
         name, kind, at = match.groups()
         figure = figures[name]
         size = float(at) if at else figure.slope.target
-        found = predicted(figure, size) if kind else measured(figure, size)
-        if found is None and not kind and not at:
-            found = predicted(figure, size)
+        found = wanted(figure, size, predicts=bool(kind), exactly_there=bool(at))
         if found is None:
             raise UnknownFigure(f"{match.group()}: no result")
         return found
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -263,3 +263,24 @@
     assert series_rows(series, Figures([], results), results) == [
         ("hollow: cpu rest", "all-to-all", "40: 4% of a core [r1]; 80: 8% of a core [r2]")
     ]
+
+
+def test_lines_of_configuration_spread_are_brought_in(tmp_path: Path) -> None:
+    file = tmp_path / "spread.jsonl"
+    lines = [
+        {"what": "at rest, a second", "bytes": 279.3, "messages": 0.8, "cpu_ms": 0.015},
+        {"what": "one change", "bytes": 3110, "messages": 7.9, "cpu_ms": 0.24, "last": 0.19},
+    ]
+    common = {"commit": "abc1234", "seed": 1, "members": 620}
+    file.write_bytes(b"".join(msgspec.json.encode({**common, **line}) + b"\n" for line in lines))
+    found = {each.metric: with_unit(each.value, each.unit) for each in import_file(file)}
+    assert found == {
+        "at rest: bytes": "279 B/s",
+        "at rest: messages": "0.8 a second",
+        "at rest: cpu": "0.0015% of a core",
+        "one change: bytes": "3.11 KB",
+        "one change: messages": "7.9",
+        "one change: cpu": "240 us",
+        "one change: last": "190 ms",
+    }
+    assert {each.size_ingresses for each in import_file(file)} == {620}
