--- a/benchmarks/capacity/measurements.py
+++ b/benchmarks/capacity/measurements.py
@@ -15,11 +15,12 @@
 from contextlib import contextmanager
 from multiprocessing import get_context
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import msgspec
 
 from benchmarks.capacity.results import Measured, Size
-from benchmarks.capacity.virtual_fleet import measure_faults, rested, seconds_until_called_dead
+from benchmarks.capacity.virtual_fleet import measure_faults, measure_hour, rested, seconds_until_called_dead
 from gorsefork.decisions import Gatekeeper
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import CALLS_ALL, CALLS_ALL_LEAST, CALLS_LEAST, CALLS_START
@@ -42,6 +43,7 @@
 CHANGES_SIZES = (2_000, 5_000, 10_000, 20_000, 40_000, 62_000)
 BACKENDS_SIZES = (53, 160, 530, 1060, 2120, 3180, 5300)
 ACCOUNTS_SIZES = (100, 300, 1_000, 3_000, 6_000, 10_000)
+USE_SIZES = (3_000, 10_000, 30_000, 100_000, 200_000)  # that wait
 FLEET_SIZES = (6, 20, 62, 120, 240, 480, 620)
 SEEDS = (1, 2)
 
@@ -307,6 +309,47 @@
     ]
 
 
+def measure_use_store(waiting: int, seed: int) -> list[Measured]:
+    """On disk, with so many that the accounts lack; written 129 at a time, as many as come in a second."""
+    from gorsefork.storage.database import Database
+    from gorsefork.storage.uses import DurableStore
+    from gorsefork.usage.records import Use
+
+    def row(metric: str, value: float, unit: str, note: str = "") -> Measured:
+        return Measured("use on disk", metric, Size(tenants=waiting), value, unit, seed, note)
+
+    def uses(first: int, many: int) -> list[Use]:
+        return [
+            Use(n, f"{n:016x}", "large-museum", "track-fetch", 1_000_000, UNIX + n)
+            for n in range(first, first + many)
+        ]
+
+    append, batch, opening = Stopwatch(), Stopwatch(), Stopwatch()
+    group = round(REQUESTS_A_SECOND)
+    with TemporaryDirectory() as folder:
+        database = Database(Path(folder), "n0", "normal")
+        store = DurableStore(database, UNIX)
+        store.append(uses(1, waiting))
+        for number in range(20):
+            some = uses(waiting + 1 + number * group, group)
+            with append.running():
+                store.append(some)
+        with batch.running():
+            store.batch(500)
+        size = sum(path.stat().st_size for path in Path(folder).iterdir())
+        database.close()
+        with opening.running():
+            database = Database(Path(folder), "n0", "normal")
+            DurableStore(database, UNIX + 1)
+        database.close()
+    return [
+        row("written, one", append.mean() / group, "us", f"CPU, {group} at a time, sync normal"),
+        row("read for a batch of 500", batch.mean() / 1000, "ms", "CPU"),
+        row("bytes on disk, one", size / (waiting + 20 * group), "B", "with the write-ahead log"),
+        row("opened", opening.mean() / 1000, "ms", "CPU"),
+    ]
+
+
 # Discovery's list.
 
 
@@ -404,11 +447,13 @@
 MEASUREMENTS = {
     "view": Measurement(measure_view, VIEW_SIZES, (1, 2, 3), 120),
     "faults": Measurement(measure_faults, FAULTS_SIZES, (1, 2, 3), 40),
+    "hour": Measurement(measure_hour, (6, 12, 18), (1,)),
     "plan-book": Measurement(measure_plan_book, CHANGES_SIZES, (1,)),
     "decisions": Measurement(measure_decisions, BACKENDS_SIZES),
     "discovery": Measurement(measure_discovery, BACKENDS_SIZES),
     "accounts": Measurement(measure_accounts, ACCOUNTS_SIZES, (1,)),
     "use": Measurement(measure_use, (500,), (1,)),
+    "use-store": Measurement(measure_use_store, USE_SIZES, (1,)),
     "feed": Measurement(work_out_feed, FLEET_SIZES, (0,)),
     "counter": Measurement(work_out_counter, FLEET_SIZES, (0,)),
 }
--- a/benchmarks/capacity/virtual_fleet.py
+++ b/benchmarks/capacity/virtual_fleet.py
@@ -20,7 +20,7 @@
 
 DELAY = 0.005  # s, the longest of one datagram
 RACK, ZONE, REGION = 0.05, 1 / 8, 1 / 3  # of the fleet
-CUT = 60.0  # s that a region is away
+CUT, HOUR = 60.0, 3600.0  # s that a region is away
 LONGEST = 300.0  # s of virtual time that anything may take
 
 
@@ -84,13 +84,15 @@
     ]
 
 
-def region_away(members: int, seed: int) -> list[Measured]:
+def region_away(
+    members: int, seed: int, seconds: float = CUT, what: str = "a region away", back: str = "a region back"
+) -> list[Measured]:
     world = grown(members, seed, 0.0, DELAY)
     meter = Meter(world, members)
     away = world.rng.sample(sorted(world.places), max(1, round(REGION * members)))
     world.cut = halves(away)
     meter.start()
-    world.run(CUT)
+    world.run(seconds)
     apart = meter.extra()
     world.cut = lambda sender, hearer: False
     meter.start()
@@ -98,13 +100,18 @@
     ended = len(world.happened("ended")) + len(world.happened("given up"))
     made = row(members, seed)
     return [
-        made("a region away: bytes sent", apart, "B", f"by each member in {CUT:.0f} s, beyond its rest"),
-        made("a region back: one settled view", took, "s", f"after {CUT:.0f} s away"),
-        made("a region back: bytes sent", meter.extra(), "B", "by each member, beyond its rest"),
-        made("a region back: lives ended", ended, "", "none is to be"),
+        made(f"{what}: bytes sent", apart, "B", f"by each member in {seconds:.0f} s, beyond its rest"),
+        made(f"{back}: one settled view", took, "s", f"after {seconds:.0f} s away"),
+        made(f"{back}: bytes sent", meter.extra(), "B", "by each member, beyond its rest"),
+        made(f"{back}: lives ended", ended, "", "none is to be"),
     ]
 
 
+def measure_hour(members: int, seed: int) -> list[Measured]:
+    """A region away for an hour, as long as one that is unreachable stays a member."""
+    return region_away(members, seed, HOUR, "a region away for an hour", "a region back after an hour")
+
+
 def all_at_once(members: int, seed: int) -> list[Measured]:
     world = World(members, seed, Pace(quiet=int(QUIET * SECOND)), 0.0, (0.2 * DELAY, DELAY), seeds=3)
     world.start(*world.places)
