--- a/benchmarks/capacity/measurements.py
+++ b/benchmarks/capacity/measurements.py
@@ -21,17 +21,21 @@
 
 from benchmarks.capacity.results import Measured, Size
 from benchmarks.capacity.virtual_fleet import measure_faults, measure_hour, rested, seconds_until_called_dead
+from gorsefork.configuration.store import RecordStore
 from gorsefork.decisions import Gatekeeper
 from gorsefork.decisions import interface as i
 from gorsefork.decisions.rules import CALLS_ALL, CALLS_ALL_LEAST, CALLS_LEAST, CALLS_START
 from gorsefork.fleet.facts import Card, Fact, State, packed
+from gorsefork.life.plan_records import PlanRecords
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.registry import Registry
 from gorsefork.plans.book import Book
 from gorsefork.plans.changes import Change, SetPlan
+from gorsefork.plans.spreading import Arrivals, Page
 from gorsefork.wire.discovery import read_list
 
 BACKENDS_AN_INGRESS = 5300 / 620
+FEED_WAIT = 10.0  # s that a question of the all-to-all feed stood
 REQUESTS_A_SECOND = 129.0  # of one ingress: 80,000 over 620
 UDP_AND_IP = 28  # bytes of heads of one datagram
 UNIX = 1_800_000_000_000_000  # us
@@ -40,6 +44,7 @@
 MOST_PLAYED, MOST_KILLED = 620, 240  # members that are played; of fleets in which one is killed
 REST, REST_OF_MANY = 10.0, 4.0  # s of virtual time, whole periods
 VIEW_SIZES = (10, 20, 60, 120, 240, 480, 620, 1024)
+CHANGES_AT_ONCE = 1_000
 CHANGES_SIZES = (2_000, 5_000, 10_000, 20_000, 40_000, 62_000)
 BACKENDS_SIZES = (53, 160, 530, 1060, 2120, 3180, 5300)
 ACCOUNTS_SIZES = (100, 300, 1_000, 3_000, 6_000, 10_000)
@@ -152,36 +157,49 @@
 
 
 def measure_plan_book(changes: int, seed: int) -> list[Measured]:
-    from gorsefork.plans.spreading import Page
-
     def row(metric: str, value: float, unit: str, note: str = "") -> Measured:
         return Measured("plan book", metric, Size(tenants=changes), value, unit, seed, note)
 
     gc.collect()
     before = resident()
-    made = [plan_change(number) for number in range(changes)]
-    build, one, digest = Stopwatch(), Stopwatch(), Stopwatch()
-    with build.running():
-        book = Book.replay(made)
+    build, one, digest, walk = Stopwatch(), Stopwatch(), Stopwatch(), Stopwatch()
+    book = Book(PlanRecords(RecordStore()))
+    for start in range(0, changes, CHANGES_AT_ONCE):
+        made = [plan_change(number) for number in range(start, min(start + CHANGES_AT_ONCE, changes))]
+        with build.running():
+            for change in made:
+                book.add(change)
     del made
     gc.collect()
     memory = resident() - before
+    with walk.running():
+        pages = [len(msgspec.msgpack.encode(page)) for page in whole_book(book)]
     for number in range(changes, changes + 200):
         with one.running():
-            book.adding(plan_change(number))
+            book.add(plan_change(number))
     with digest.running():
         book.digest()
-    page = Page("life", changes, changes, True, tuple(book.history()), book.digest())
     return [
         row("memory", memory, "B", "growth of the resident set"),
-        row("build", build.us / 1e6, "s", "CPU"),
+        row("build", build.us / 1e6, "s", "CPU, one change after another"),
         row("one change", one.mean(), "us", "CPU"),
         row("digest", digest.us / 1000, "ms", "CPU, on the loop at each answer of the feed"),
-        row("whole page, MessagePack", len(msgspec.msgpack.encode(page)), "B"),
-        row("whole page, JSON", len(msgspec.json.encode(page)), "B"),
+        row("whole book in pages", sum(pages), "B", f"MessagePack, {len(pages)} pages"),
+        row("largest page", max(pages), "B", "MessagePack"),
+        row("whole book given out", walk.us / 1e6, "s", "CPU, pages made and encoded"),
     ]
 
 
+def whole_book(book: Book) -> Iterator[Page]:
+    """All pages of the feed that a new life of another ingress asks for."""
+    arrivals = Arrivals("life", book)
+    page = arrivals.page("", 0, book)
+    yield page
+    while page.life != arrivals.life:
+        page = arrivals.page(page.life, page.position, book)
+        yield page
+
+
 # The decision module.
 
 
@@ -392,14 +410,12 @@
 
 def work_out_feed(ingresses: int, seed: int) -> list[Measured]:
     """All-to-all, as ``wire/services/fellows.py`` asks: a connection and a standing question a pair."""
-    from gorsefork.plans.spreading import Page
-    from gorsefork.wire.services.fellows import WAIT_MS
 
     def row(metric: str, value: float, unit: str, note: str) -> Measured:
         return Measured("all-to-all feed", metric, Size(ingresses), value, unit, seed, f"arithmetic: {note}")
 
     others = ingresses - 1
-    asked = others / (WAIT_MS / 1000)
+    asked = others / FEED_WAIT
     empty = len(
         msgspec.msgpack.encode(Page("1796128930762813", 62_000, 62_000, False, (), "62000-" + "0" * 32))
     )
@@ -407,7 +423,7 @@
     heads = 260 + 120  # a question's and an answer's, as the client and the control front write them
     return [
         row("descriptors", 2 * others, "", "one connection to and one from each other"),
-        row("questions and answers at rest", 4 * asked, "1/s", "each pair asks once in WAIT_MS, both ways"),
+        row("questions and answers at rest", 4 * asked, "1/s", "each pair asks once in 10 s, both ways"),
         row("bytes at rest", 2 * asked * (heads + empty), "B/s", "heads reckoned at 380 bytes, a guess"),
         row(
             "bytes of one change",
@@ -448,7 +464,7 @@
     "view": Measurement(measure_view, VIEW_SIZES, (1, 2, 3), 120),
     "faults": Measurement(measure_faults, FAULTS_SIZES, (1, 2, 3), 40),
     "hour": Measurement(measure_hour, (6, 12, 18), (1,)),
-    "plan-book": Measurement(measure_plan_book, CHANGES_SIZES, (1,)),
+    "plan-book": Measurement(measure_plan_book, CHANGES_SIZES),
     "decisions": Measurement(measure_decisions, BACKENDS_SIZES),
     "discovery": Measurement(measure_discovery, BACKENDS_SIZES),
     "accounts": Measurement(measure_accounts, ACCOUNTS_SIZES, (1,)),
