--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -18,7 +18,7 @@
 from benchmarks.capacity.fits import Fit, Model, Prediction, TooFewSizes, fit
 from benchmarks.capacity.results import Result
 
-SLOPES = Path(__file__).with_name("slopes.toml")
+SLOPES = Path(__file__).parent / "texts" / "slopes.toml"
 RUN_BEGAN = re.compile(r"(20\d{6})[T-](\d{6})")
 Over = Literal["ingresses", "backends", "tenants"]
 
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -1,4 +1,4 @@
-"""The tables of docs/CAPACITY.md, from the kept results and the texts beside this file."""
+"""The tables of docs/CAPACITY.md, from the kept results and from ``texts/``."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 from benchmarks.capacity.shown import at_target, filled, interval, number, source, with_unit
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
-TEXTS = Path(__file__).parent
+TEXTS = Path(__file__).parent / "texts"
 VERDICTS = ("holds", "short by", "not known")
 MARKED = re.compile(r"(<!-- table ([a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 RUN = re.compile(r"\b[\w-]*20\d{6}[T-]\d{6}[\w-]*\b")
