--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,19 +11,12 @@
 from benchmarks.capacity.figures import Figure, Figures, Slope, UnknownFigure
 from benchmarks.capacity.fits import TooFewSizes, fit
 from benchmarks.capacity.imports import import_file
-from benchmarks.capacity.page import (
-    PAGE,
-    BadText,
-    Line,
-    Role,
-    Series,
-    differences,
-    role_table,
-    series_rows,
-    target_row,
-)
+from benchmarks.capacity.page import PAGE, differences
 from benchmarks.capacity.results import BadResults, Measured, Result, Run, Size, read_results, write_results
 from benchmarks.capacity.shown import filled, with_unit
+from benchmarks.capacity.tables import role_table, series_rows
+from benchmarks.capacity.target import target_row
+from benchmarks.capacity.texts import BadText, Line, Role, Series
 
 RUN = Run("20261202-050000-some", "abc1234", "a machine", "a program")
 SIZES = (20, 60, 120, 240)
