--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -62,7 +62,7 @@
         action="append",
         default=[],
         metavar="TREE=COMMIT",
-        help="which commit a tree is that a file of added_latency names by its folder",
+        help="which commit a tree is that a file names by its folder, or by a commit that was rebased",
     )
     kept.set_defaults(do=bring_in)
     parts.add_parser("report", help="write the page's tables anew").set_defaults(do=report)
--- a/benchmarks/capacity/imports.py
+++ b/benchmarks/capacity/imports.py
@@ -29,8 +29,8 @@
 
 
 def import_file(path: Path, commits: Mapping[str, str] | None = None) -> list[Result]:
-    """``commits``: that of each tree which a file names by its folder. ``BadResults`` names file, line
-    and fault."""
+    """``commits``: that of each tree which a file names by its folder, or by a commit since renamed.
+    ``BadResults`` names file, line and fault."""
     return read_results([path]) if path.suffix == ".parquet" else read_lines(path, commits or {})
 
 
@@ -50,7 +50,7 @@
                 found += added_latency(row, runs[tree])
                 continue
             if "members" in row or "us_an_add" in row:
-                found += configuration_spread(row, path)
+                found += configuration_spread(row, path, commits)
                 continue
             common = common or {key: row[key] for key in FROM_FIRST_LINE if key in row}
             if row.keys() <= set(FROM_FIRST_LINE):
@@ -113,13 +113,14 @@
 BOOK = 62_000  # customers of the whole book that it fills
 
 
-def configuration_spread(row: dict[str, Any], path: Path) -> list[Result]:
+def configuration_spread(row: dict[str, Any], path: Path, commits: Mapping[str, str]) -> list[Result]:
     """A line of ``benchmarks/configuration_spread.py``: one thing that happened to a fleet, or the whole
     book. The file's time is the run's, as the line has none."""
     moment = datetime.fromtimestamp(path.stat().st_mtime, UTC).strftime("%Y%m%d-%H%M%S")
+    commit = str(row.pop("commit"))
     run = Run(
         f"{moment}-configuration-spread",
-        str(row.pop("commit")),
+        commits.get(commit, commit),
         describe_machine("load not told"),
         "benchmarks.configuration_spread",
     )
--- a/benchmarks/capacity/measurements/__init__.py
+++ b/benchmarks/capacity/measurements/__init__.py
@@ -18,9 +18,12 @@
 from benchmarks.capacity.measurements.plan_book import measure_plan_book
 from benchmarks.capacity.measurements.use import measure_use, measure_use_store
 from benchmarks.capacity.measurements.virtual_fleet import measure_faults, measure_hour
+from benchmarks.capacity.measurements.virtual_replication import measure_apart, measure_arrival
 from benchmarks.capacity.results import Measured
 
 VIEW_SIZES = (10, 20, 60, 120, 240, 480, 620, 1024)
+ARRIVAL_SIZES = (4_000, 8_000, 20_000, 40_000, 62_000)  # records
+APART_SIZES = (6, 12, 24, 60, 80)
 FAULTS_SIZES = (4, 10, 20, 40, 60)
 CHANGES_SIZES = (2_000, 5_000, 10_000, 20_000, 40_000, 62_000)
 BACKENDS_SIZES = (53, 160, 530, 1060, 2120, 3180, 5300)
@@ -46,6 +49,8 @@
     "view": Measurement(measure_view, VIEW_SIZES, (1, 2, 3), 120),
     "faults": Measurement(measure_faults, FAULTS_SIZES, (1, 2, 3), 40),
     "hour": Measurement(measure_hour, (6, 12, 18), (1,)),
+    "arrival": Measurement(measure_arrival, ARRIVAL_SIZES, (1,)),
+    "apart": Measurement(measure_apart, APART_SIZES, (1, 2, 3), 24),
     "plan-book": Measurement(measure_plan_book, CHANGES_SIZES),
     "decisions": Measurement(measure_decisions, BACKENDS_SIZES),
     "discovery": Measurement(measure_discovery, BACKENDS_SIZES),
