Keep records of unknown kinds and pass them on, so that two versions agree

Ruled out: keeping them in the replicator's store alone (lost at a restart), in the plan keeper (it owns plans). Change: life/unknown_records.py keeps them on disk and in the store, under the same refusals; the book is loaded with the leaves whole.

--- a/gorsefork/life/plan_records.py
+++ b/gorsefork/life/plan_records.py
@@ -124,9 +124,11 @@
     log = PlanRecords(store)
     book = Book(log, durable.horizon)
     try:
-        for leaf, records in durable.leaves(KIND):
+        for leaf, records in durable.leaves():
             store.put_back(leaf, records)
             for record in records:
+                if record.kind != KIND:
+                    continue
                 log.enter(record, leaf)
                 body = read(record.key, record.body)
                 if body.key or body.latest() > now:
--- a/gorsefork/life/replication.py
+++ b/gorsefork/life/replication.py
@@ -17,8 +17,9 @@
 from gorsefork.configuration.store import RecordStore
 from gorsefork.life.control_connections import ControlConnections
 from gorsefork.life.keeper import PlanKeeper
-from gorsefork.life.plan_records import record_of
+from gorsefork.life.plan_records import KIND, record_of
 from gorsefork.life.record_intake import RecordIntake
+from gorsefork.life.unknown_records import RecordsByKind, UnknownRecords
 from gorsefork.memory.clock import SECOND, Clock
 from gorsefork.memory.ports import Log
 from gorsefork.plans.changes import Refused
@@ -56,7 +57,9 @@
         self.look: Callable[[], Sequence[ControlPeer]] = tuple
         self.to_look = trio.Event()
         self.restored = len(store), store.newest
-        self.intake = RecordIntake(store, keeper.take_records)
+        unknown = UnknownRecords(store, keeper.storage, clock, lambda: keeper.book.horizon, log)
+        by_kind = RecordsByKind({KIND: keeper.take_records}, unknown.take_records)
+        self.intake = RecordIntake(store, by_kind.take_records)
         self.replicator = Replicator(
             name,
             zone,
--- a/gorsefork/storage/records.py
+++ b/gorsefork/storage/records.py
@@ -14,7 +14,7 @@
 from gorsefork.storage.rows import SAVE, row_of
 
 LOAD = """
-SELECT kind, key, stamp, origin, author, body, leaf FROM records WHERE kind = ?
+SELECT kind, key, stamp, origin, author, body, leaf FROM records WHERE ? IN ('', kind)
 ORDER BY leaf, kind, key, stamp, origin
 """
 FORGET = "DELETE FROM records WHERE leaf = ? AND kind = ? AND key = ? AND stamp = ? AND origin = ?"
@@ -32,8 +32,9 @@
         found = self.database.sql.execute("SELECT value FROM meta WHERE key = 'horizon'").fetchone()
         return int(found[0]) if found else 0
 
-    def leaves(self, kind: str) -> Iterator[tuple[int, list[Record]]]:
-        """All records of a kind, leaf by leaf as the store has them. ``BadState`` for what is no record."""
+    def leaves(self, kind: str = "") -> Iterator[tuple[int, list[Record]]]:
+        """All records, or those of a kind, leaf by leaf as the store has them. ``BadState`` for what is no
+        record."""
         rows = self.database.sql.execute(LOAD, (kind,))
         try:
             for leaf, group in groupby(rows, key=itemgetter(-1)):
