Log many changes that come at once in one line

Change: beyond 64 changes at once one line, plan.many_changed, with how many and the oldest and newest.

--- a/gorsefork/life/keeper.py
+++ b/gorsefork/life/keeper.py
@@ -22,6 +22,7 @@
 RETENTION = 90 * DAY  # us: what has held no more for so long is forgotten
 FIRST_TIDY = 600 * SECOND  # after the start
 TEMPORARY = (425, 507)  # refusals that may be none later: a clock that runs ahead, no room
+MOST_LOGGED = 64  # changes that come at once, each with a line of its own in the log
 MOST_TOLD = 1024  # refused changes that are remembered, so that each is logged once
 REFUSALS = {
     410: Refusal.TOO_OLD,
@@ -234,6 +235,23 @@
     def put_in_force(self, changes: Sequence[Change]) -> None:
         for change in changes:
             self.arrivals.add(change)
+        self.log_changes(changes)
+        self.tell_changed(self.contracts.changed(changes, self.clock.unix_us()))
+        self.ring()
+
+    def log_changes(self, changes: Sequence[Change]) -> None:
+        """One line a change, or one for all where many come at once, as to an ingress that catches up."""
+        if len(changes) > MOST_LOGGED:
+            numbers = [change.number for change in changes]
+            self.log(
+                f"{len(changes)} changes are in force",
+                event="plan.many_changed",
+                changes=len(changes),
+                oldest=str(min(numbers)),
+                newest=str(max(numbers)),
+            )
+            return
+        for change in changes:
             self.log(
                 f"change {change.number} by {change.author}",
                 event="plan.changed",
@@ -242,8 +260,6 @@
                 customer=change.customer or "all",
                 act=type(change.act).__name__.lower(),
             )
-        self.tell_changed(self.contracts.changed(changes, self.clock.unix_us()))
-        self.ring()
 
     def tell_changed(self, touched: Iterable[str | None]) -> None:
         """Of named customers at once; of every customer, ``run`` tells by and by."""
--- a/tests/test_plan_records.py
+++ b/tests/test_plan_records.py
@@ -24,7 +24,15 @@
 from gorsefork.configuration.records import Record, RecordRefused, Refusal
 from gorsefork.configuration.store import LEAVES, Limits, RecordStore, leaf_of
 from gorsefork.decisions import interface as i
-from gorsefork.life.keeper import DAY, FIRST_TIDY, RETENTION, NoStorage, PlanKeeper, RecordStorage
+from gorsefork.life.keeper import (
+    DAY,
+    FIRST_TIDY,
+    MOST_LOGGED,
+    RETENTION,
+    NoStorage,
+    PlanKeeper,
+    RecordStorage,
+)
 from gorsefork.life.plan_records import KIND, PlanRecords, change_of, load_book, record_of
 from gorsefork.memory.clock import Clock
 from gorsefork.plans import recent_keys, spreading
@@ -559,6 +567,21 @@
     assert packed_book(twice).asked_before("k") == packed_book(twice[::-1]).asked_before("k") == twice[1]
 
 
+def test_many_changes_at_once_are_one_line_of_the_log() -> None:
+    """Guards against a log that an ingress floods as it catches up."""
+
+    async def main() -> None:
+        ingress = Ingress()
+        few = [record(n) for n in range(1, MOST_LOGGED + 1)]
+        assert refusals(await ingress.keeper.take_records(few)) == [None] * MOST_LOGGED
+        assert ingress.events("plan.changed") == MOST_LOGGED and not ingress.events("plan.many_changed")
+        many = [record(n, B) for n in range(1, MOST_LOGGED + 2)]
+        assert refusals(await ingress.keeper.take_records(many)) == [None] * (MOST_LOGGED + 1)
+        assert ingress.events("plan.changed") == MOST_LOGGED and ingress.events("plan.many_changed") == 1
+
+    run(main)
+
+
 # Forgetting.
 
 
