Introduce a hollow ingress in its own context, so that its clients are counted as its own

Cause: told of the others from the host's context, an ingress that follows them at once made its clients there, and the host ended with a LookupError.

--- a/gorsefork/lab/scale/hollow.py
+++ b/gorsefork/lab/scale/hollow.py
@@ -10,6 +10,7 @@
 from typing import Any, Protocol, cast
 
 from gorsefork.fleet.facts import Card, Fact, State, packed
+from gorsefork.lab.scale.experiment import Configuration
 from gorsefork.lab.scale.messages import Arrival, Begin, Place, Standing
 from gorsefork.lab.scale.traffic import CountedClient, CountedSocket, Network, Owner, Traffic, owner
 from gorsefork.life.config import Config
@@ -28,7 +29,7 @@
     "tiersOfService": [{"name": name, "rate": 10.0, "depth": 20.0} for name in PLANS],
 }
 # The modules that make the clients of a mechanism. One that this version lacks is not there to be measured.
-CLIENTS = {
+CLIENTS: dict[Configuration, str] = {
     "all-to-all": "gorsefork.wire.services.fellows",
     "replicated": "gorsefork.wire.http1.client_pool",
 }
@@ -185,12 +186,12 @@
     return int(where.rpartition(":")[2])
 
 
-def mechanisms() -> list[str]:
+def mechanisms() -> list[Configuration]:
     """The mechanisms for configuration that this version of the program has, by their names."""
     return [name for name, module in CLIENTS.items() if find_spec(module) is not None]
 
 
-def count_clients(configuration: str) -> None:
+def count_clients(configuration: Configuration) -> None:
     """From here on the mechanism's client counts what it sends. ``Unknown`` if this version lacks it."""
     if configuration == "none":
         return
--- a/gorsefork/lab/scale/host.py
+++ b/gorsefork/lab/scale/host.py
@@ -121,7 +121,7 @@
     async def introduce(self, places: tuple[m.Place, ...]) -> m.Answer:
         facts = [fact_of(place) for place in places]
         for running in list(self.running.values()):
-            running.ingress.introduce(facts)
+            running.context.run(running.ingress.introduce, facts)  # tasks that it starts are its own
             await trio.lowlevel.checkpoint()  # those that know already have probes to answer
         return m.Done()
 
