Reckon what all members come to only after a change of the view

Ruled out: fewer looks (they bound how soon a change of the whole is told), the replicator (a comparison in 2.5 s costs the same). Change: the view has a revision that grows with each change of who is shown how; a summary holds as long as that and the base do.

--- a/gorsefork/fleet/settlement.py
+++ b/gorsefork/fleet/settlement.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from gorsefork.fleet.local_node import HERE, LocalNode
 from gorsefork.fleet.pace import SECOND
+from gorsefork.fleet.view import Part
 
 AGREEING = 3  # members whose digests must equal this view's, or all where there are fewer
 DIGEST_HOLDS = 8  # periods for which a digest that was heard counts
 NAMED = 8  # members named in one reason
-LOOKS_A_PERIOD = 5  # each look costs as many steps as there are members
+LOOKS_A_PERIOD = 5
+
+
+class Summary(NamedTuple):
+    """What all members together come to. It holds as long as the view's revision and base do."""
+
+    revision: int
+    base: frozenset[str]
+    part: Part
+    unsure: tuple[str, ...]  # names of those that are suspect or joining, in order
 
 
 class Settlement:
@@ -18,6 +30,8 @@
         self.node = node
         self.digests: dict[str, tuple[bytes, int]] = {}  # those heard last, and when
         self.was_settled, self.was_part = False, "alone"
+        self.known: Summary | None = None
+        self.base_revision = 0  # of the view, when its base was taken last
         self.part_since = self.look_at = node.now
 
     def heard(self, name: str, digest: bytes) -> None:
@@ -41,11 +55,18 @@
         quiet = node.now - max(node.view.changed_at, node.began)
         if quiet < node.pace.quiet:
             missing.append(f"news {quiet / SECOND:.1f} s ago")
-        unsure = [m.fact.name for m in node.view.going() if m.shown in ("suspect", "joining")]
-        if unsure:
-            missing.append("suspect or joining: " + ", ".join(sorted(unsure)[:NAMED]))
+        if unsure := self.summary().unsure:
+            missing.append("suspect or joining: " + ", ".join(unsure[:NAMED]))
         return missing + self.disagreement()
 
+    def summary(self) -> Summary:
+        """Reckoned anew only after a change: at rest a look costs the same however large the fleet is."""
+        view = self.node.view
+        if self.known is None or self.known.revision != view.revision or self.known.base is not view.base:
+            unsure = sorted(m.fact.name for m in view.going() if m.shown in ("suspect", "joining"))
+            self.known = Summary(view.revision, view.base, view.part(), tuple(unsure))
+        return self.known
+
     def disagreement(self) -> list[str]:
         """What others' digests lack, in words."""
         missing: list[str] = []
@@ -76,8 +97,9 @@
         if node.now < self.look_at:
             return
         self.look_at = node.now + node.pace.period // LOOKS_A_PERIOD
-        part, settled = node.view.part(), self.settled()
-        if settled:
+        part, settled = self.summary().part, self.settled()
+        if settled and self.base_revision != node.view.revision:
+            self.base_revision = node.view.revision
             node.view.base = frozenset(m.fact.name for m in node.view.going())
         if part != self.was_part:
             self.was_part, self.part_since = part, node.now
--- a/gorsefork/fleet/view.py
+++ b/gorsefork/fleet/view.py
@@ -79,6 +79,7 @@
     def __init__(self) -> None:
         self.members: dict[str, Member] = {}
         self.number = 0
+        self.revision = 0  # grows with each change of a member, of how it is shown too
         self.changed_at = 0
         self.dropped = 0  # names that found no place
         self.total = 0  # of all marks
@@ -107,11 +108,13 @@
         """A suspect whose time is over: unreachable from here on."""
         self.suspects.discard(member.fact.name)
         member.lost, member.since, member.by, self.seen_now = True, now, "here", None
+        self.revision += 1
 
     def changed(self, member: Member, now: int) -> None:
         """Another mark of this member; the whole is not reckoned anew, or each change would cost all of
         them."""
         self.number, self.changed_at, self.seen_now = self.number + 1, now, None
+        self.revision += 1
         old, member.mark = member.mark, member.reckoned()
         self.total ^= old ^ member.mark
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from itertools import pairwise
 from typing import Any
+from unittest import mock
 
 import pytest
 from fleet_world import UNIX, World, halves
@@ -678,3 +679,17 @@
     names = [core.name for core in world.cores()]
     longest_retry = 64.0 * 1.25  # s until one that is away is asked again at the latest
     world.run_until(lambda: world.one_view(names), settle(world) + longest_retry)
+
+
+def test_at_rest_no_look_goes_through_all_members() -> None:
+    """Guards against a cost at rest that grows with the fleet: five looks a second at each of its members."""
+    world = grown(8, 3)
+    world.run_until(lambda: all(core.settled() for core in world.cores()), settle(world))
+    world.run(2.0)
+    with mock.patch.object(View, "part", autospec=True, side_effect=View.part) as reckoned:
+        world.run(20.0)
+        assert reckoned.call_count == 0
+        world.kill("n3")
+        world.run_until(lambda: bool(world.happened("unreachable", "n3", at="n0")), 60.0)
+        assert reckoned.call_count > 0
+    assert all(core.part() == "majority" for core in world.cores())
