--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import random
 import sys
@@ -16,7 +17,6 @@
 from gorsefork.memory.backoff import Backoff
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.registry import AT_ONCE, PIECE, PIECE_PAUSE, Host, News, Registry
-from gorsefork.wire.json_steps import read_object
 from gorsefork.wire.stream import Stream, address, connect
 
 STATES: Mapping[str, State] = {"active": "ready", "leaving": "draining", "left": "gone"}
@@ -53,17 +53,12 @@
         return as_news(raw, [read_host(entry, clock) for entry in raw["hosts"]], cached)
 
 
-async def parse_in_steps(body: bytearray) -> Any:
-    """An answer's JSON, ``PIECE`` entries at a time: calls are not held up by a list of thousands."""
-    steps = read_object(body, PIECE)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
-        except (ValueError, RecursionError):
-            raise BadList("discovery's list is not JSON") from None
-        await trio.lowlevel.checkpoint()
+def parse(body: bytearray) -> Any:
+    """An answer's JSON, in one step."""
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError):
+        raise BadList("discovery's list is not JSON") from None
 
 
 async def read_in_steps(raw: Any, clock: Clock, pause: float = 0.0) -> News:
@@ -201,6 +196,6 @@
             elif isinstance(event, h11.EndOfMessage):
                 if status != 200:
                     raise BadList(f"discovery answered {status}")
-                return await parse_in_steps(body)
+                return parse(body)
             elif not isinstance(event, h11.InformationalResponse):
                 raise BadList("discovery closed the connection")
