Let a test's host give back the client that it counts with

Cause: a host of hollow ingresses replaces its mechanism's HttpClient for its whole process; the test that plays one in the tests' own process left it so, and 11 tests of the replication service failed after it (LookupError of 'owner') in a run of all tests. Ruled out: a reversible replacement in the program (a host's process is its own). Change: hosted() restores the client.

--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
+from importlib import import_module
 from pathlib import Path
 from typing import Any, TypeVar
 from unittest import mock
@@ -24,7 +25,7 @@
 from gorsefork.lab.scale import run as playing
 from gorsefork.lab.scale.experiment import BadExperiment, Configuration, Experiment, read
 from gorsefork.lab.scale.fleet import HostProcess
-from gorsefork.lab.scale.hollow import mechanisms
+from gorsefork.lab.scale.hollow import CLIENTS, mechanisms
 from gorsefork.lab.scale.host import Host
 from gorsefork.lab.scale.machine import BeyondBounds, Guard
 from gorsefork.lab.scale.messages import Ways
@@ -239,7 +240,10 @@
             await host.do(m.End())
         return told
 
-    return trio.run(main, instruments=[clock])
+    # A host puts a counting client in the place of its mechanism's: in this process that ends with it.
+    module = import_module(CLIENTS[MECHANISM])
+    with mock.patch.object(module, "HttpClient", vars(module)["HttpClient"]):
+        return trio.run(main, instruments=[clock])
 
 
 class Hosts(unittest.TestCase):
