Log when the process was held up, and for how long

The clock, which trio calls round each wait, now knows both; from 50 ms on a line a second at most says how often and how long. One more reading of the clock a turn; nothing else changes.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -17,7 +17,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.life.config import BadConfig, Config, read_config
-from gorsefork.memory.clock import Clock
+from gorsefork.memory.clock import Clock, Held
 from gorsefork.memory.commands import OperatorCommands
 from gorsefork.memory.deciding import Decider
 from gorsefork.memory.ports import Log
@@ -93,6 +93,7 @@
         self.log: Log = extra.log if extra is not None else log
         settings, sockets = config.settings, config.sockets
         self.clock, self.serving, self.ending = clock, ServingState(), trio.Event()
+        clock.tell_held = self.log_held
         self.ready = self.serving.ready
         self.decider = Decider(settings, config.seed, clock, self.note)
         self.decider.sites += config.sites
@@ -162,6 +163,16 @@
     def note(self, text: str) -> None:
         self.log(text, event="note")
 
+    def log_held(self, held: Held) -> None:
+        turn, oversleep = held.longest_turn // 1000, held.longest_oversleep // 1000
+        self.log(
+            f"gorsefork: held up {held.times} times: a turn of {turn} ms, a wait {oversleep} ms too long",
+            event="process.held",
+            times=held.times,
+            longest_turn_ms=turn,
+            longest_oversleep_ms=oversleep,
+        )
+
     def hear_peer(self, message: i.PeerMessage) -> None:
         self.decider.hear(message)
         if self.handover is not None:
--- a/gorsefork/memory/clock.py
+++ b/gorsefork/memory/clock.py
@@ -3,10 +3,23 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
 SECOND = 1_000_000
+HELD_FROM = 50_000  # us beyond which a turn of the loop, or a late end of its wait, is told
+TELL_EVERY = SECOND  # us between two times that it is told
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """How often and how long this process was held up since this was told last, in microseconds."""
+
+    times: int
+    longest_turn: int  # from the end of a wait for input to the begin of the next
+    longest_oversleep: int  # by which a wait for input ended later than a timer was due
 
 
 def monotonic_us() -> int:
@@ -22,9 +35,33 @@
         # reckons from its time: so the module is given Unix time, by an offset that is fixed at the start.
         self.unix_offset = time.time_ns() // 1000 - self.now
         self.trio_offset: float | None = None  # both clocks count the same seconds, from different origins
+        self.waits_since = self.now  # when this turn's wait for input began
+        self.tell_held: Callable[[Held], None] | None = None
+        self.held_times = self.longest_turn = self.longest_oversleep = 0
+        self.told_at = self.now - TELL_EVERY
+
+    def before_io_wait(self, timeout: float) -> None:
+        self.waits_since = monotonic_us()
 
     def after_io_wait(self, timeout: float) -> None:
-        self.now = monotonic_us()
+        turn, self.now = self.waits_since - self.now, monotonic_us()
+        oversleep = self.now - self.waits_since - round(timeout * SECOND)
+        if max(turn, oversleep) >= HELD_FROM:
+            self.was_held(turn, oversleep)
+        if self.held_times and self.now >= self.told_at + TELL_EVERY:
+            self.tell()
+
+    def was_held(self, turn: int, oversleep: int) -> None:
+        self.held_times += 1
+        self.longest_turn = max(self.longest_turn, turn)
+        self.longest_oversleep = max(self.longest_oversleep, oversleep)
+
+    def tell(self) -> None:
+        held = Held(self.held_times, self.longest_turn, self.longest_oversleep)
+        self.held_times = self.longest_turn = self.longest_oversleep = 0
+        self.told_at = self.now
+        if self.tell_held is not None:
+            self.tell_held(held)
 
     def unix(self, at: int) -> float:
         """A time of this clock as Unix seconds."""
