--- a/gorsefork/lab/faults/shim.py
+++ b/gorsefork/lab/faults/shim.py
@@ -11,6 +11,7 @@
 import math
 import os
 import random
+import runpy
 import select
 import socket
 import time
@@ -154,9 +155,7 @@
     plan = read(Path(os.environ[PLAN_VARIABLE]))
     log = os.open(os.environ[LOG_VARIABLE], os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC, 0o600)
     install(Injector(plan, log))
-    from gorsefork.__main__ import main as serve  # only now: what it imports is to find the calls replaced
-
-    serve()
+    runpy.run_module("gorsefork", run_name="__main__", alter_sys=True)
 
 
 if __name__ == "__main__":
