Count a client's time from when its request may have come, not from when it was read

Cause: the time was counted from the turn that read the request, so the answer, and the deadline told to the backend, were late by the rest of the hold. The clock now keeps since when the input of a turn may have been there: the end of the wait before if input was found at once, and up to 0.15 s back if the wait overslept. A connection counts from there, also where it lay in the backlog or behind the pause after an error, which made the same mistake.

--- a/gorsefork/memory/clock.py
+++ b/gorsefork/memory/clock.py
@@ -11,6 +11,9 @@
 SECOND = 1_000_000
 HELD_FROM = 50_000  # us beyond which a turn of the loop, or a late end of its wait, is told
 TELL_EVERY = SECOND  # us between two times that it is told
+LONGEST_HOLD = 150_000  # us for which a process may be held up
+PROMPT = 1_000  # us within which a wait for input ends that found some already there
+OVERSLEPT = 10_000  # us by which a wait ends too late where the process was not scheduled
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +39,7 @@
         self.unix_offset = time.time_ns() // 1000 - self.now
         self.trio_offset: float | None = None  # both clocks count the same seconds, from different origins
         self.waits_since = self.now  # when this turn's wait for input began
+        self.earliest = self.now  # what this turn's wait has found came no sooner than this
         self.tell_held: Callable[[Held], None] | None = None
         self.held_times = self.longest_turn = self.longest_oversleep = 0
         self.told_at = self.now - TELL_EVERY
@@ -44,13 +48,24 @@
         self.waits_since = monotonic_us()
 
     def after_io_wait(self, timeout: float) -> None:
-        turn, self.now = self.waits_since - self.now, monotonic_us()
-        oversleep = self.now - self.waits_since - round(timeout * SECOND)
+        last, self.now = self.now, monotonic_us()
+        turn, waited = self.waits_since - last, self.now - self.waits_since
+        oversleep = waited - round(timeout * SECOND)
+        self.earliest = self.earliest_arrival(last, waited, oversleep)
         if max(turn, oversleep) >= HELD_FROM:
             self.was_held(turn, oversleep)
         if self.held_times and self.now >= self.told_at + TELL_EVERY:
             self.tell()
 
+    def earliest_arrival(self, last: int, waited: int, oversleep: int) -> int:
+        """Since when the input may have been there that this wait has found. ``last``: the end of the wait
+        before; nothing was there then. A process that is held up reads late, and does not see by how much."""
+        if waited <= PROMPT:
+            return last
+        if oversleep >= OVERSLEPT:
+            return min(self.now - oversleep, max(last, self.now - LONGEST_HOLD))
+        return self.now
+
     def was_held(self, turn: int, oversleep: int) -> None:
         self.held_times += 1
         self.longest_turn = max(self.longest_turn, turn)
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from gorsefork.memory.arrival import Arrival
 from gorsefork.memory.clock import Clock
 from gorsefork.wire.admission import Admission
 from gorsefork.wire.http1.connection import ClientConnection
@@ -49,6 +50,7 @@
         self.closing = False
         self.nursery: trio.Nursery | None = None
         self.taking, self.listening = trio.Event(), trio.CancelScope()
+        self.arrival = Arrival(clock, clock.now)
         if inherited is not None:  # bound and listening already, and not this process's alone
             self.sock = socket.socket(fileno=inherited)
             self.sock.setblocking(False)
@@ -80,6 +82,7 @@
                 await self.taking.wait()
                 with trio.CancelScope() as self.listening:
                     while True:
+                        self.arrival.wait()
                         await trio.lowlevel.wait_readable(self.sock)
                         if not self.accept_ready():
                             await trio.sleep(0.02)
@@ -95,6 +98,7 @@
 
     def accept_ready(self) -> bool:
         """Take in all that waits; False if there is no room for more just now."""
+        came = self.arrival.earliest()
         while True:
             if len(self.connections) >= self.most and not self.evict():
                 return False
@@ -105,12 +109,13 @@
             try:
                 stream = Stream(self.sock.accept()[0])
             except BlockingIOError:
+                self.arrival.emptied()
                 return True
             except OSError as error:
                 if error.errno in BROKEN_ON_ITS_WAY:
                     continue  # as it comes, so it goes: others wait behind it, maybe as the listener closes
                 return False  # no descriptor is left: the backlog keeps the rest
-            connection = ClientConnection(stream, self)
+            connection = ClientConnection(stream, self, came)
             self.connections.add(connection)
             self.idle[connection] = self.clock.now
             if self.closing:
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from gorsefork.memory.arrival import Arrival
 from gorsefork.memory.call import Answer, Denied, Long
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.flow import MOST_HELD, Flow
@@ -72,10 +73,14 @@
 
 
 class ClientConnection:
-    """Reads in its own task. Answers are written at once from wherever they come, with one gathered write."""
+    """Reads in its own task. Answers are written at once from wherever they come, with one gathered write.
 
-    def __init__(self, stream: Stream, acceptor: Owner) -> None:
+    ``came_at``: the time before which it had not come, in microseconds.
+    """
+
+    def __init__(self, stream: Stream, acceptor: Owner, came_at: int) -> None:
         self.stream, self.acceptor = stream, acceptor
+        self.arrival, self.bytes_came_at = Arrival(acceptor.clock, came_at), came_at
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.exchange: Exchange | None = None
         self.unsent: list[memoryview] = []
@@ -100,7 +105,7 @@
         self.finish()
 
     async def read_on(self) -> None:
-        while data := await self.stream.receive():
+        while data := await self.receive():
             if self.take(data):
                 break
             await self.hold_back()
@@ -111,6 +116,11 @@
                 self.paused = False
                 self.advance()
 
+    async def receive(self) -> bytes:
+        """The next bytes; none at the end."""
+        self.arrival.wait()
+        return await self.stream.receive()
+
     def lapse(self) -> bool:
         """This client's time is over, for a request that has begun or for its first byte. Whether its end is
         still to be waited for. Guards against a close over bytes that came in this moment: it is a reset, and
@@ -135,6 +145,8 @@
 
     def take(self, data: bytes) -> bool:
         """Feed what came; whether this client sends too much ahead of its answer, or behind its last."""
+        self.bytes_came_at = self.arrival.earliest()
+        self.arrival.emptied()
         if self.last:
             self.discarded += len(data)
             return self.discarded > (MOST_REFUSED if self.refused else MOST_DISCARDED)
@@ -208,7 +220,7 @@
                     event.method.decode("ascii"),
                     event.target.decode("latin-1"),
                     headers,
-                    self.acceptor.clock.now,
+                    self.bytes_came_at,
                     lambda answer: None,
                 )
                 exchange.reply = lambda answer, exchange=exchange: self.reply(exchange, answer)  # type: ignore[misc]
@@ -218,13 +230,13 @@
                 if self.exchange.flow is None and self.gone():
                     return
                 self.scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
-                exchange, now = self.exchange, self.acceptor.clock.now
+                exchange = self.exchange
                 if exchange.flow is None:
-                    exchange.came_at = now  # its time counts from its last byte
+                    exchange.came_at = self.bytes_came_at  # its time counts from its last byte
                     self.acceptor.front.begin(exchange)
                     continue
                 if exchange.call is not None:
-                    exchange.call.uploaded(now)
+                    exchange.call.uploaded(self.bytes_came_at)
                 exchange.flow.end()
             else:  # paused behind the request in hand, or the client has closed
                 return
@@ -257,7 +269,7 @@
         length = exchange.headers.get(b"content-length")
         exchange.flow = Flow(int(length) if length is not None else None, bytes(exchange.body))
         exchange.discarded, exchange.body = len(exchange.body), bytearray()
-        exchange.came_at = self.acceptor.clock.now
+        exchange.came_at = self.bytes_came_at
         self.acceptor.front.begin(exchange)
 
     def reject(self, status: int) -> None:
