Answer a tenth of a second before a client's time is over, in case the process is held up

Cause: the last answer was due 1 to 4 ms before the client's time, with nothing in hand for this process's own delay. The same for the introspection front, and for the deadline that backends are told, which is how long this ingress waits.

--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -105,7 +105,7 @@
     contract: str = ""  # the plan that holds for it, where the book names one
     settled: bool = False  # a good answer has come: its use is recorded, if this installation records any
     flow: Flow | None = None  # its body, where that is passed on as it comes; ``body`` is empty then
-    left: int = 0  # us that the client waits from its last byte on
+    left: int = 0  # us from its last byte on within which the client is to have its answer
     delegations: list[Delegation] = field(default_factory=list)
     figures: Figures | None = None  # where its end is counted
 
--- a/gorsefork/wire/http1/exchange.py
+++ b/gorsefork/wire/http1/exchange.py
@@ -14,6 +14,9 @@
 MOST_BODY = 33 << 20  # bytes of a request's body, where it is passed on as it comes; else ``MOST_HELD``
 UPLOAD_MOST = 600_000_000  # us for a body in all: 32 MB take 512 s at 64 kB/s
 
+ANSWER_RESERVE = 100_000  # us before the end of a client's time by which its last answer leaves
+ANSWER_RESERVE_SHARE = 0.15  # of that time, at most
+
 BODILESS = frozenset((b"GET", b"HEAD"))
 
 Headers = list[tuple[bytes, bytes]]
@@ -26,7 +29,7 @@
     method: str
     target: str
     headers: dict[bytes, bytes]
-    came_at: int
+    came_at: int  # us; its last byte came no sooner
     reply: Callable[[Answer], None]
     body: bytearray = field(default_factory=bytearray)
     call: Call | None = None
@@ -59,6 +62,12 @@
     return 400 if has_body and head.method in BODILESS else 0
 
 
+def answer_within(waits: int) -> int:
+    """Microseconds in which a client that waits so many has its final answer: guards against a process that
+    is held up just as its client's time is over."""
+    return waits - min(ANSWER_RESERVE, round(waits * ANSWER_RESERVE_SHARE))
+
+
 class Front(Protocol):
     """What the acceptor asks of a front."""
 
--- a/gorsefork/wire/introspection.py
+++ b/gorsefork/wire/introspection.py
@@ -15,7 +15,7 @@
 from gorsefork.decisions import interface as i
 from gorsefork.memory.call import Call, Delegation, Denied, Overload
 from gorsefork.memory.clock import SECOND, Clock
-from gorsefork.wire.http1.exchange import Exchange
+from gorsefork.wire.http1.exchange import Exchange, answer_within
 from gorsefork.wire.introspection_client import IntrospectionClient, Unavailable
 from gorsefork.wire.platform import TRACE, BadCall, CallReader, metering, whole
 from gorsefork.wire.tokens import BadToken, Claims, NoToken, Tenant, Tenants, TenantsUnavailable, bearer
@@ -176,7 +176,7 @@
         asked = exchange.text(b"x-metering")
         # Whose it is, and where, the token says.
         units = max(LEAST_UNITS, self.reader.units(metering(asked))) if asked else LEAST_UNITS
-        return Order(cls, token, trace, units, exchange.came_at + left_ms * 1000)
+        return Order(cls, token, trace, units, exchange.came_at + answer_within(left_ms * 1000))
 
     async def admit(self, exchange: Exchange, order: Order) -> None:
         """The check, within the call's own deadline; a client that leaves ends it."""
--- a/gorsefork/wire/platform.py
+++ b/gorsefork/wire/platform.py
@@ -8,7 +8,7 @@
 
 from gorsefork.decisions import interface as i
 from gorsefork.memory.call import Call, Denied, Overload
-from gorsefork.wire.http1.exchange import UPLOAD_MOST, Exchange
+from gorsefork.wire.http1.exchange import UPLOAD_MOST, Exchange, answer_within
 
 IDS = itertools.count(1)
 CUSTOMER = re.compile(r"[0-9a-fA-F]{16}")
@@ -90,11 +90,11 @@
             raise BadCall(400)
         if int(customer, 16) >= CUSTOMERS:
             raise BadCall(400)
-        left_ms = whole(exchange.text(b"x-expires-in-ms"), 1, 86_400_000)
+        within = answer_within(whole(exchange.text(b"x-expires-in-ms"), 1, 86_400_000) * 1000)
         values, ingresses = metering(exchange.text(b"x-metering")), self.settings.gatekeepers
         spread, first = values.get("spread", ""), values.get("first", "")
         # What is passed on has its time from its last byte; until then the upload's own bounds hold.
-        ends_at = exchange.came_at + left_ms * 1000 + (0 if exchange.flow is None else UPLOAD_MOST)
+        ends_at = exchange.came_at + within + (0 if exchange.flow is None else UPLOAD_MOST)
         return Call(
             f"{next(IDS):x}",
             exchange.method,
@@ -113,7 +113,7 @@
             exchange.reply,
             exchange.text(b"x-second-try") == "1",
             flow=exchange.flow,
-            left=left_ms * 1000,
+            left=within,
         )
 
     def units(self, values: Mapping[str, str]) -> float:
