Look at the backlog again if it could not be emptied as the listener closes

What callers saw: whole requests in the listener's backlog were reset as the drain closed it. Cause: one ENFILE, EMFILE, ENOBUFS or ENOMEM of accept(2) in that moment, or the bound on connections with none to give way, ended the one look at it, and the listener closed over what lay there. The drain now looks every 5 ms until nothing waits, or until its own time is nearly over; a poll tells an empty backlog where there is no place. The same mistake, the other way round: a listener whose accept only ever fails (ECONNABORTED, say) held up the loop for good; a step now ends after so many. The hand-over asks the acceptor whether clients wait.

--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import select
-import socket
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
@@ -180,10 +178,10 @@
 
     async def watch_socket(self) -> None:
         """Guards against one that serves no more but does not end: clients would wait for nobody."""
-        sock, waited = self.ingress.acceptors[0].sock, 0.0
+        acceptor, waited = self.ingress.acceptors[0], 0.0
         while not self.taking.is_set():
             await trio.sleep(LOOK_EVERY)
-            waited = waited + LOOK_EVERY if waiting(sock) else 0.0
+            waited = waited + LOOK_EVERY if acceptor.backlog_waits() else 0.0
             if waited >= UNSERVED and self.before is not None and not self.taking.is_set():
                 self.note(f"clients waited {UNSERVED} s for the one before; this one takes")
                 self.before.say({"mine": True})
@@ -268,9 +266,3 @@
             await link.speak()
         except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
             await trio.aclose_forcefully(link.stream)  # whoever hears on it sees the end
-
-
-def waiting(sock: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -334,9 +334,10 @@
             followed = self.handover.give()
         if not followed:
             await trio.sleep_until(began + ACCEPT_FOR)
-        for acceptor in self.acceptors:
-            if not followed or acceptor is not self.acceptors[0]:
-                acceptor.stop_listening()
+        async with trio.open_nursery() as nursery:
+            for acceptor in self.acceptors:
+                if not followed or acceptor is not self.acceptors[0]:
+                    nursery.start_soon(acceptor.stop_listening, began + self.finish_within() - LAST_REQUESTS)
         await trio.sleep(LAST_REQUESTS)
         while trio.current_time() < began + self.finish_within() and (
             any(acceptor.busy() for acceptor in self.acceptors)
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -18,6 +19,8 @@
 __all__ = ["Acceptor", "Exchange"]
 
 BACKLOG = 1024
+MOST_AT_ONCE = 4 * BACKLOG  # connections taken in one step; a listener that only ever fails ends it too
+BACKLOG_RETRY = 0.005  # s between looks at a backlog that could not be emptied, as the listener closes
 FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
 
 BROKEN_ON_ITS_WAY = frozenset(
@@ -99,15 +102,15 @@
     def accept_ready(self) -> bool:
         """Take in all that waits; False if there is no room for more just now."""
         came = self.arrival.earliest()
-        while True:
+        for _ in range(MOST_AT_ONCE):
             if len(self.connections) >= self.most and not self.evict():
-                return False
+                return not self.backlog_waits()
             if len(self.idle) >= self.most_idle:
                 # Guards against a crowd that connects and asks nothing: connections are few, and each
                 # that is held for one without a request is one less for those that have one.
                 self.evict(newcomers=False)
             try:
-                stream = Stream(self.sock.accept()[0])
+                sock = self.sock.accept()[0]
             except BlockingIOError:
                 self.arrival.emptied()
                 return True
@@ -115,12 +118,19 @@
                 if error.errno in BROKEN_ON_ITS_WAY:
                     continue  # as it comes, so it goes: others wait behind it, maybe as the listener closes
                 return False  # no descriptor is left: the backlog keeps the rest
-            connection = ClientConnection(stream, self, came)
+            connection = ClientConnection(Stream(sock), self, came)
             self.connections.add(connection)
             self.idle[connection] = self.clock.now
             if self.closing:
                 connection.scope.deadline = trio.current_time() + FIRST_BYTES
             self.start(connection.run)
+        return False
+
+    def backlog_waits(self) -> bool:
+        """Whether there is a connection to be taken."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return bool(poll.poll(0))
 
     def end_reading(self) -> None:
         """The last look at each connection. What comes later is nobody's: a call that began here now would
@@ -129,9 +139,11 @@
         for connection in [c for c in self.connections if not c.last]:
             connection.end_reading()
 
-    def stop_listening(self) -> None:
-        """The backlog first: a request unread in it counts as taken."""
-        self.accept_ready()
+    async def stop_listening(self, until: float) -> None:
+        """The backlog first: a request unread in it counts as taken. Where it can't be emptied just now, for
+        want of descriptors or of places, that is tried again until trio's clock shows ``until``."""
+        while not self.accept_ready() and trio.current_time() < until:
+            await trio.sleep(BACKLOG_RETRY)
         self.cease()
         trio.lowlevel.notify_closing(self.sock)
         self.sock.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -413,7 +413,7 @@
             await world.play("c1 send GET /look")
             acceptor.closing = True
             with mock.patch.object(acceptor, "sock", Listener(acceptor.sock)):
-                acceptor.stop_listening()
+                await acceptor.stop_listening(trio.current_time())
             await world.play("box expect GET /look\nbox send 200 | taken\nc1 expect 200 Connection | taken")
 
         scenario("", then=then)
--- /dev/null
+++ b/tests/test_transient_faults.py
@@ -0,0 +1,125 @@
+"""System calls that fail for a moment, come short, or fail for reasons of this machine: nothing is lost.
+
+Errors are enumerated, each at its call; ``docs/fault-tests.md`` lists them.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+import pytest
+import trio
+import trio.testing
+from scenario import World, scenario
+
+SHORT_OF_SOMETHING = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
+BROKEN = (errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.EPIPE)
+HOUR = 3_600_000_000  # us
+
+
+def failure(number: int) -> OSError:
+    return OSError(number, os.strerror(number))
+
+
+class FailingListener:
+    """A listener whose first ``accept`` calls fail."""
+
+    def __init__(self, sock: socket.socket, number: int, times: int) -> None:
+        self.sock, self.number, self.left = sock, number, times
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.left:
+            self.left -= 1
+            raise failure(self.number)
+        return self.sock.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+class TestBacklog:
+    @pytest.mark.parametrize("number", SHORT_OF_SOMETHING)
+    def test_a_request_in_the_backlog_is_answered_if_accept_fails_as_the_listener_closes(
+        self, number: int
+    ) -> None:
+        async def then(world: World) -> None:
+            acceptor = world.ingresses[0].acceptors[0]
+            acceptor.cease()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            await world.play("c1 send GET /look")
+            acceptor.closing = True
+            with mock.patch.object(acceptor, "sock", FailingListener(acceptor.sock, number, 2)):
+                await acceptor.stop_listening(trio.current_time() + 2.0)
+            await world.play("box expect GET /look\nbox send 200 | taken\nc1 expect 200 Connection | taken")
+
+        scenario("", then=then)
+
+    def test_a_request_in_the_backlog_is_answered_if_all_places_are_taken_as_the_listener_closes(
+        self,
+    ) -> None:
+        async def then(world: World) -> None:
+            acceptor = world.ingresses[0].acceptors[0]
+            await world.play("c1 send GET /look X-Trace-Id=one\nbox expect GET /look")
+            acceptor.most = 1
+            acceptor.cease()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            await world.play("c2 send GET /look X-Trace-Id=two")
+            acceptor.closing = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(acceptor.stop_listening, trio.current_time() + 5.0)
+                await trio.testing.wait_all_tasks_blocked(0.002)
+                await world.play("box send 200 | one\nc1 expect 200 | one\nc1 close")
+            await world.play("box expect GET /look\nbox send 200 | two\nc2 expect 200 | two")
+
+        scenario("", then=then)
+
+    def test_a_listener_that_only_ever_fails_does_not_hold_up_the_loop(self) -> None:
+        async def then(world: World) -> None:
+            acceptor = world.ingresses[0].acceptors[0]
+            with mock.patch.object(
+                acceptor, "sock", FailingListener(acceptor.sock, errno.ECONNABORTED, 10**9)
+            ):
+                assert not acceptor.accept_ready()
+
+        scenario("", then=then)
+
+
+@contextmanager
+def failing_once(
+    owner: Any,
+    name: str,
+    fail: Callable[[], Any],
+    times: int = 1,
+    where: Callable[..., bool] = lambda *_: True,
+) -> Iterator[None]:
+    """The first calls of a method, of those that ``where`` names, are answered by ``fail``."""
+    original, left = getattr(owner, name), [times]
+
+    def method(*given: Any, **named: Any) -> Any:
+        if left[0] > 0 and where(*given):
+            left[0] -= 1
+            return fail()
+        return original(*given, **named)
+
+    with mock.patch.object(owner, name, method):
+        yield
+    assert not left[0], "the call that was to fail did not come"
+
+
+def to_box(world: World) -> Callable[..., bool]:
+    """Whether a connect is one to the backend."""
+    there = world.servers["box"].sock.getsockname()
+    return lambda _, dial: bool(dial == there)
+
+
+def raising(number: int) -> Callable[[], Any]:
+    def fail() -> Any:
+        raise failure(number)
+
+    return fail
