Tell faults of this machine from those of a backend when a connection is made

What callers saw: requests refused or sent elsewhere, and good backends passed by, after a moment's ENFILE, ENOBUFS, EADDRNOTAVAIL or ENETUNREACH of this machine, or with all connections to backends in use. Cause: every failure to connect was one answer, "could not connect", which counts against the backend and bars it. Now such a fault is waited out for as long as a connection may take to come up; if there is nothing else in that time the attempt is moot, so it counts against nobody, spends no retry, and an unsafe call may go elsewhere. A listener's socket is waited for in the same way at the start, where one ENFILE ended the program. Refused, timed out and unreachable still count against the backend, with tests.

--- a/benchmarks/fleet_trace.py
+++ b/benchmarks/fleet_trace.py
@@ -26,7 +26,7 @@
 from gorsefork.memory.call import Answer, Call
 from gorsefork.memory.deciding import Decider
 from gorsefork.wire import backends, discovery
-from gorsefork.wire.stream import connect as stream_connect
+from gorsefork.wire.stream import open_connection
 
 MARK, CALL = "fleet-trace ", "fleet-call "
 EVERY = 1.0  # s between two lines of one ingress
@@ -219,7 +219,7 @@
 
 
 def traced_backends(trace: Trace) -> None:
-    connect = stream_connect
+    connect = open_connection
 
     async def counted(dial: str, timeout: float) -> Any:
         began = time.monotonic()
@@ -231,7 +231,7 @@
         trace.dials.setdefault(dial, Counter())[kind] += 1
         return stream
 
-    backends.connect = counted  # type: ignore[attr-defined]
+    backends.open_connection = counted  # type: ignore[attr-defined]
 
 
 def traced_discovery(trace: Trace) -> None:
--- a/gorsefork/lab/faults/shim.py
+++ b/gorsefork/lab/faults/shim.py
@@ -78,7 +78,8 @@
     call = SOCKET_CALLS[name]
 
     def method(sock: socket.socket, *given: Any, **named: Any) -> Any:
-        rule = injector.rule_for(call)
+        # A wake-up socket of the loop's own (AF_UNIX) is no system call of the program's.
+        rule = None if sock.family == socket.AF_UNIX else injector.rule_for(call)
         if rule is None:
             return original(sock, *given, **named)
         if rule.effect == "error":
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -14,7 +14,7 @@
 from gorsefork.wire.admission import Admission
 from gorsefork.wire.http1.connection import ClientConnection
 from gorsefork.wire.http1.exchange import Exchange, Front
-from gorsefork.wire.stream import Stream, address
+from gorsefork.wire.stream import Stream, address, listening_socket
 
 __all__ = ["Acceptor", "Exchange"]
 
@@ -59,7 +59,8 @@
             self.sock.setblocking(False)
             return
         host, port = address(listen)
-        self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.sock = listening_socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
         self.sock.bind((host, port))
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -14,7 +14,7 @@
 from gorsefork.memory.flow import MOST_HELD, Flow, Torn
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.registry import Host, Registry
-from gorsefork.wire.stream import Stream, connect
+from gorsefork.wire.stream import LOCAL_RETRY, LocalFault, Stream, open_connection
 
 MOST_BODY = 33 << 20  # bytes of an answer; a longer one is spoilt
 MOST_WAITING = 512  # orders that one backend's actor may have unread
@@ -258,7 +258,10 @@
             self.pool.ended(delegation, ending)
 
     async def exchange(self, delegation: Delegation) -> Ending:
-        link = self.idle_link() or await self.new_link()
+        try:
+            link = self.idle_link() or await self.new_link()
+        except LocalFault:  # ours: nothing is known of the backend, and another may be tried
+            return Ending("moot")
         if link is None:
             return Ending("connect_failed")
         if link.life != self.life:  # the process there is another by now
@@ -296,15 +299,17 @@
         return None
 
     async def new_link(self) -> Link | None:
-        if not self.pool.make_room():
-            return None
+        """A new connection; None if the backend does not take it, ``LocalFault`` if this machine can't."""
+        await self.pool.wait_for_room()
         self.pool.links += 1
         stream, life = None, self.life
         try:
-            stream = await connect(self.host.dial, self.pool.connect_timeout)
+            stream = await open_connection(self.host.dial, self.pool.connect_timeout)
         finally:
             self.pool.links -= stream is None
-        return None if stream is None else Link(stream, life, self.pool)
+        if stream is None:
+            return None
+        return Link(stream, life, self.pool)
 
 
 class BackendPool:
@@ -369,6 +374,14 @@
         """Bytes that each answer that is passed on may hold of it."""
         return max(PIECE_LEAST, min(PIECE_MOST, POUR_HELD // max(1, self.pouring)))
 
+    async def wait_for_room(self) -> None:
+        """``LocalFault`` if no connection may be opened for as long as one may take to come up."""
+        until = trio.current_time() + self.connect_timeout
+        while not self.make_room():
+            if trio.current_time() >= until:
+                raise LocalFault("all connections to backends are in use")
+            await trio.sleep(LOCAL_RETRY)
+
     def make_room(self) -> bool:
         """Whether one more connection may be opened; an idle one elsewhere gives way."""
         if self.links >= self.most_links:
--- a/gorsefork/wire/datagrams.py
+++ b/gorsefork/wire/datagrams.py
@@ -9,7 +9,7 @@
 
 from gorsefork.decisions.interface import PeerMessage
 from gorsefork.memory.mailbox import Mailbox
-from gorsefork.wire.stream import address
+from gorsefork.wire.stream import address, listening_socket
 
 LONGEST = 256
 MOST_WAITING = 64  # beyond that a message is lost, as on the way
@@ -28,7 +28,7 @@
         shared: bool = False,
     ) -> None:
         self.post, self.me, self.here = post, me, address(listen)
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock = listening_socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         self.bound = trio.Event()
         if shared:  # another process of this ingress hears there, until ``open``
--- a/gorsefork/wire/fronts/operators.py
+++ b/gorsefork/wire/fronts/operators.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from gorsefork.wire.stream import Stream, address
+from gorsefork.wire.stream import Stream, address, listening_socket
 
 MOST_CALLERS = 16  # connections at once; beyond that the one that has been silent longest is closed
 MOST_LINE = 1024  # bytes of a call
@@ -41,7 +41,8 @@
     def __init__(self, listen: str, answer: Callable[[str], str]) -> None:
         self.answer = answer
         host, port = address(listen)
-        self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.sock = listening_socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
         self.sock.bind((host, port))
--- a/gorsefork/wire/stream.py
+++ b/gorsefork/wire/stream.py
@@ -7,11 +7,32 @@
 import os
 import select
 import socket
+import time
 from collections.abc import Sequence
 
 import trio
 
 CHUNK = 65536
+LOCAL_RETRY = 0.005  # s until a connection is tried again that failed for a fault of this machine
+START_RETRY, START_PATIENCE = 0.01, 2.0  # s between tries to make a listener's socket; for all of them
+
+# Of socket(2) and connect(2): this machine is short of something, or has no way out for the moment.
+LOCAL_FAULTS = frozenset(
+    (
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EAGAIN,
+        errno.EADDRNOTAVAIL,
+        errno.ENETUNREACH,
+        errno.ENETDOWN,
+    )
+)
+
+
+class LocalFault(Exception):
+    """This machine could not make a connection; it says nothing about the other side."""
 
 
 class Stream:
@@ -115,14 +136,47 @@
     return str(ipaddress.ip_address(host.strip("[]"))), int(port)
 
 
+def listening_socket(family: int, kind: int) -> socket.socket:
+    """A socket at this program's start, which waits for a moment's want of descriptors or memory to pass."""
+    until = time.monotonic() + START_PATIENCE
+    while True:
+        try:
+            return socket.socket(family, kind)
+        except OSError as error:
+            if error.errno not in LOCAL_FAULTS or time.monotonic() >= until:
+                raise
+            time.sleep(START_RETRY)
+
+
 async def connect(dial: str, timeout: float) -> Stream | None:
-    """A new connection, or None if it is refused, does not come up in time, or no descriptor is left."""
-    host, port = address(dial)
+    """As ``open_connection``; None also for a fault of this machine."""
     try:
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    except OSError:
+        return await open_connection(dial, timeout)
+    except LocalFault:
         return None
+
+
+async def open_connection(dial: str, timeout: float) -> Stream | None:
+    """A new connection, or None if it is refused or does not come up in ``timeout`` seconds.
+
+    A fault of this machine is waited out; ``LocalFault`` if there was nothing else in all that time.
+    """
+    until = trio.current_time() + timeout
+    while True:
+        try:
+            return await try_to_connect(dial, max(0.0, until - trio.current_time()))
+        except LocalFault:
+            if trio.current_time() + LOCAL_RETRY >= until:
+                raise
+        await trio.sleep(LOCAL_RETRY)
+
+
+async def try_to_connect(dial: str, timeout: float) -> Stream | None:
+    """One try of ``open_connection``."""
+    host, port = address(dial)
+    sock: socket.socket | None = None
     try:
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
         stream = Stream(sock)
         code = sock.connect_ex((host, port))
         if code == errno.EINPROGRESS:
@@ -131,10 +185,14 @@
                 code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             raise OSError(code, os.strerror(code))
-    except OSError:
-        sock.close()
+    except OSError as error:
+        if sock is not None:
+            sock.close()
+        if error.errno in LOCAL_FAULTS:
+            raise LocalFault(str(error)) from None
         return None
     except BaseException:
-        sock.close()
+        if sock is not None:
+            sock.close()
         raise
     return stream
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,7 +26,7 @@
 from gorsefork.wire.admission import LEAVING
 from gorsefork.wire.backends import REST_FOR, Backend, Link
 from gorsefork.wire.http1.connection import ClientConnection
-from gorsefork.wire.stream import Stream, connect
+from gorsefork.wire.stream import Stream, open_connection
 
 HEAD = "".join(f"{name}: {value}\\n" for name, value in DEFAULTS.items())
 LOOK = f"GET /look HTTP/1.1\\n{HEAD}\\n"
@@ -94,13 +94,13 @@
         self.asked, self.release = trio.Event(), trio.Event()
 
     async def __call__(self, dial: str, timeout: float) -> Stream | None:
-        stream = await connect(dial, timeout)
+        stream = await open_connection(dial, timeout)
         self.asked.set()
         await self.release.wait()
         return stream
 
     def patch(self) -> Any:
-        return mock.patch("gorsefork.wire.backends.connect", self)
+        return mock.patch("gorsefork.wire.backends.open_connection", self)
 
 
 class TestUnsafe:
@@ -569,7 +569,7 @@
             return None
 
         async def then(world: World) -> None:
-            with mock.patch("gorsefork.wire.backends.connect", connecting):
+            with mock.patch("gorsefork.wire.backends.open_connection", connecting):
                 await world.play("c1 send POST /pay X-Expires-In-Ms=2500 | one")
                 await world.play("c1 expect 503")  # it never ran
             await world.play("box wait idle")
--- a/tests/test_transient_faults.py
+++ b/tests/test_transient_faults.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
@@ -17,9 +18,9 @@
 import trio
 import trio.testing
 from scenario import World, scenario
-from test_crossings import LOOK, say
+from test_crossings import LOOK, UNSAFE, say, until
 
-from gorsefork.wire.stream import Stream
+from gorsefork.wire.stream import LOCAL_FAULTS, Stream, listening_socket
 
 SHORT_OF_SOMETHING = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
 BROKEN = (errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.EPIPE)
@@ -149,3 +150,109 @@
         raise failure(number)
 
     return fail
+
+
+class TestOwnFaultsWhileConnecting:
+    """Each is no fault of the backend: nothing counts against it, no retry is spent, and the call goes on."""
+
+    def no_harm(self, world: World) -> None:
+        gate = world.ingresses[0].decider.gate
+        server = gate.fleet.servers["s-1"]
+        assert (server.unmet, server.barred_until <= gate.now, gate.fleet.barred) == (0, True, 0.0)
+
+    @pytest.mark.parametrize("number", sorted(LOCAL_FAULTS))
+    def test_connect_fails_for_a_moment(self, number: int) -> None:
+        async def then(world: World) -> None:
+            with failing_once(socket.socket, "connect_ex", lambda: number, 3, to_box(world)):
+                await world.play("c1 send POST /pay | one\nbox expect POST /pay\nbox send 200 | paid")
+            await world.play("c1 expect 200 | paid")
+            self.no_harm(world)
+
+        scenario("", then=then, settings=UNSAFE)
+
+    @pytest.mark.parametrize("number", SHORT_OF_SOMETHING)
+    def test_socket_fails_for_a_moment(self, number: int) -> None:
+        async def then(world: World) -> None:
+            real, left = socket.socket, [3]
+
+            def making(*given: Any, **named: Any) -> socket.socket:
+                if left[0] and "fileno" not in named:
+                    left[0] -= 1
+                    raise failure(number)
+                return real(*given, **named)
+
+            await world.play("c1 send GET /healthz\nc1 expect 200")
+            module = SimpleNamespace(**{**vars(socket), "socket": making})
+            with mock.patch("gorsefork.wire.stream.socket", module):
+                await world.play("c1 send POST /pay | one\nbox expect POST /pay\nbox send 200 | paid")
+            assert not left[0]
+            await world.play("c1 expect 200 | paid")
+            self.no_harm(world)
+
+        scenario("", then=then, settings=UNSAFE)
+
+    def test_a_fault_that_lasts_refuses_an_unsafe_call_and_bars_nobody(self) -> None:
+        async def then(world: World) -> None:
+            with mock.patch.object(socket.socket, "connect_ex", lambda *_: errno.EADDRNOTAVAIL):
+                await world.play("c1 send POST /pay X-Expires-In-Ms=2500 | one\nc1 expect 503")
+            self.no_harm(world)
+            await world.play(
+                "c1 send POST /pay | two\nbox expect POST /pay\nbox send 200 | paid\nc1 expect 200"
+            )
+
+        scenario("", then=then, settings=UNSAFE)
+
+    def test_no_place_for_a_connection_is_waited_for_and_bars_nobody(self) -> None:
+        async def then(world: World) -> None:
+            pool = world.ingresses[0].pool
+            await world.play("c1 send GET /look X-Trace-Id=one\nbox expect GET /look")
+            pool.most_links = 1
+            await world.play("c2 send GET /look X-Trace-Id=two")
+            await until(lambda: len(world.ingresses[0].decider.calls) == 2)
+            await trio.testing.wait_all_tasks_blocked(
+                0.003
+            )  # less than from one look for a place to the next
+            await world.play("box send 200 | one\nc1 expect 200 | one")
+            await world.play("box expect GET /look\nbox send 200 | two\nc2 expect 200 | two")
+            self.no_harm(world)
+
+        scenario("", then=then)
+
+    def test_a_listener_s_socket_is_waited_for_at_the_start(self) -> None:
+        with failing_once(socket, "socket", raising(errno.ENFILE), 2):
+            listening_socket(socket.AF_INET, socket.SOCK_STREAM).close()
+
+    @pytest.mark.parametrize("number", [errno.ECONNREFUSED, errno.ETIMEDOUT, errno.EHOSTUNREACH])
+    def test_a_connection_that_the_backend_refuses_counts_against_it(self, number: int) -> None:
+        async def then(world: World) -> None:
+            with failing_once(socket.socket, "connect_ex", lambda: number, 1, to_box(world)):
+                await world.play("c1 send GET /look\nbox expect GET /look\nbox send 200 | one\nc1 expect 200")
+            assert world.ingresses[0].decider.gate.fleet.barred > 0.0
+
+        scenario("", then=then)
+
+
+class TestBrokenConnections:
+    @pytest.mark.parametrize("number", BROKEN)
+    def test_a_backend_s_connection_that_breaks_as_it_is_read_may_have_run(self, number: int) -> None:
+        async def then(world: World) -> None:
+            await world.play("c1 send POST /pay | one\nbox expect POST /pay")
+            (backend,) = world.ingresses[0].pool.backends.values()
+            assert backend is not None
+            with failing_once(socket.socket, "recv", raising(number)):
+                await world.play("box send 200 | paid\nc1 expect 502")
+            await world.play("box wait idle")
+
+        scenario("", then=then, settings=UNSAFE)
+
+    @pytest.mark.parametrize("number", BROKEN)
+    def test_a_backend_s_connection_that_breaks_as_it_is_written_is_not_had(self, number: int) -> None:
+        async def then(world: World) -> None:
+            def pays(_: socket.socket, buffers: list[bytes]) -> bool:
+                return b"POST /pay" in b"".join(buffers)
+
+            with failing_once(socket.socket, "sendmsg", raising(number), 1, pays):
+                await world.play("c1 send POST /pay | one\nbox expect POST /pay\nbox send 200 | paid")
+            await world.play("c1 expect 200 | paid\nbox wait idle")
+
+        scenario("", then=then, settings=UNSAFE)
