Read what came in the same moment before a new connection to a backend is used

Cause: after a hold the close and the connection that came up are found by one wait, and the loop runs their readers in an order of its own; half of the time the attempt began before the close was read. The new connection now waits for one turn.

--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -309,6 +309,8 @@
             self.pool.links -= stream is None
         if stream is None:
             return None
+        # What came in the same moment is read first: it may be this call's client that leaves.
+        await trio.lowlevel.checkpoint()
         return Link(stream, life, self.pool)
 
 
--- a/tests/test_transient_faults.py
+++ b/tests/test_transient_faults.py
@@ -18,7 +18,7 @@
 import trio
 import trio.testing
 from scenario import World, scenario
-from test_crossings import LOOK, UNSAFE, say, until
+from test_crossings import LOOK, UNSAFE, Late, say, until
 
 from gorsefork.wire.stream import LOCAL_FAULTS, Stream, listening_socket
 
@@ -256,3 +256,19 @@
             await world.play("c1 expect 200 | paid\nbox wait idle")
 
         scenario("", then=then, settings=UNSAFE)
+
+
+class TestLeaving:
+    def test_a_client_that_leaves_as_a_connection_comes_up_is_not_sent_on(self) -> None:
+        async def then(world: World) -> None:
+            for _ in range(25):  # the loop runs what is ready at once in an order of its own
+                late = Late()
+                with late.patch():
+                    await world.play("c1 send GET /look")
+                    await late.asked.wait()
+                    await world.play("c1 close")
+                    late.release.set()
+                    await trio.testing.wait_all_tasks_blocked(0.001)
+                await world.play("box wait idle")
+
+        scenario("", then=then)
