Bound a backend's start by when it was news, in case a wall clock was stepped

What callers would see: after a start behind a wall clock an hour ahead each backend that starts counts as warm at once and gets more than its slow start allows; an hour behind, it counts as cold for an hour. Cause: the start is told in Unix time, and the offset to the monotonic clock is taken once, at this process's start. A start that is news is now held to lie between the list before, less 1 s, and now; after an outage of discovery that is as far back as the outage. Evidence: tests for both directions, which failed without it. Not helped by this: the first list of a process, of which nothing is known before.

--- a/gorsefork/memory/registry.py
+++ b/gorsefork/memory/registry.py
@@ -22,6 +22,7 @@
 AT_ONCE, PIECE = 256, 64  # entries of news that are applied in one step; of a piece of larger ones
 PIECE_PAUSE = 0.003  # s between two pieces: one after the other, they would hold up whatever came meanwhile
 MOST_DOWN = 512  # bans at once
+START_TOLD_WITHIN = 1_000_000  # us after its start in which discovery has told of a backend
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """The whole list, or the changes to it."""
+    """The whole list, or the changes to it. ``since``: what it tells was not so yet at this time (us); 0 if
+    nothing is known of that."""
 
     kind: ListKind
     version: int
     hosts: tuple[Host, ...]
+    since: int = 0
 
 
 class Registry:
@@ -62,6 +65,7 @@
         self.left: OrderedDict[str, None] = OrderedDict()  # ids that were listed once, the latest gone last
         self.down: dict[str, int] = {}  # out by hand, since when (us)
         self.back: dict[str, int] = {}  # back by hand: cold from then (us), whatever discovery knows of it
+        self.starts: dict[str, int] = {}  # where they can't be as told: when they were, as far as is known
         self.version = 0
 
     async def run(self) -> None:
@@ -92,21 +96,21 @@
         for start in range(0, len(hosts), PIECE):
             yield
             piece = hosts[start : start + PIECE]
-            self.apply_entries([host for host in piece if self.hosts.get(host.name) != host])
+            self.apply_entries([host for host in piece if self.hosts.get(host.name) != host], news.since)
         self.version = news.version
 
     def apply_whole(self, news: News) -> None:
         for host in self.left_out(news):
             self.remove(host.name)
         for host in news.hosts:
-            self.put(host)
+            self.put(host, news.since)
         self.version = news.version
         self.tell(replace(news, hosts=tuple(map(self.as_held, news.hosts))))
 
-    def apply_entries(self, hosts: list[Host]) -> None:
+    def apply_entries(self, hosts: list[Host], since: int) -> None:
         """Some of the news, told as changes."""
         for host in hosts:
-            self.put(host)
+            self.put(host, since)
         if hosts:
             self.tell(News("delta", self.version, tuple(map(self.as_held, hosts))))
 
@@ -117,14 +121,28 @@
         listed = {host.name for host in news.hosts}
         return [Host(name, old.dial, "gone") for name, old in self.hosts.items() if name not in listed]
 
-    def put(self, host: Host) -> None:
+    def put(self, host: Host, since: int = 0) -> None:
         if host.state == "gone":
             self.remove(host.name)
         else:
+            self.bound_start(host, since)
             self.hosts[host.name] = host
             self.left.pop(host.name, None)
             self.changed(self.as_held(host))
 
+    def bound_start(self, host: Host, since: int) -> None:
+        """Guards against a wall clock that was stepped, here or there: a start that is news is neither long
+        before the list that did not have it nor ahead of now, or what is cold would pass for warm, or never
+        be warm."""
+        old = self.hosts.get(host.name)
+        if not host.started or (old is not None and host.started <= old.started):
+            return
+        earliest = since - START_TOLD_WITHIN if since else host.started
+        start = min(self.now(), max(host.started, earliest))
+        self.starts.pop(host.name, None)
+        if start != host.started:
+            self.starts[host.name] = start
+
     @property
     def seen(self) -> list[str]:
         """The ids that were ever listed, within the bound; those listed now last."""
@@ -147,8 +165,9 @@
             return host
         if host.name in self.down:
             return replace(host, state="draining")
-        since = self.back.get(host.name, 0)
-        return replace(host, started=since) if since > host.started else host
+        started = self.starts.get(host.name, host.started)
+        started = max(started, self.back.get(host.name, 0))
+        return host if started == host.started else replace(host, started=started)
 
     def set_down(self, name: str) -> str:
         """Out until ``set_up``, listed or not. Why not, or nothing; said again it changes nothing."""
@@ -170,7 +189,7 @@
         since = self.down.pop(name, None)
         host = self.hosts.get(name)
         if since is not None and host is not None:
-            if host.started < since:
+            if self.as_held(host).started < since:
                 self.back[name] = self.now()
             self.retell(name)
         return ""
@@ -182,6 +201,7 @@
 
     def remove(self, name: str) -> None:
         self.back.pop(name, None)
+        self.starts.pop(name, None)
         if (old := self.hosts.pop(name, None)) is not None:
             self.see(name)
             self.changed(Host(name, old.dial, "gone"))
--- a/gorsefork/wire/discovery.py
+++ b/gorsefork/wire/discovery.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
+from dataclasses import replace
 from typing import Any
 
 import h11
@@ -114,7 +115,7 @@
         # lasts costs little, and all at once are turned away and come back as one crowd. With nothing known
         # there is nothing to serve by until it is asked.
         self.begin_in = 0.0 if self.whole_next else rng.uniform(0.0, min(SPREAD_MOST, SPREAD_EACH * fleet))
-        self.answered = trio.Event()
+        self.answered, self.heard_at = trio.Event(), 0
         self.asking = trio.CancelScope()
 
     def fetch(self) -> None:
@@ -167,6 +168,7 @@
                 self.whole_next |= whole
                 raise
             news = await read_in_steps(raw, self.clock, PIECE_PAUSE if self.registry.hosts else 0.0)
+            news, self.heard_at = replace(news, since=self.heard_at), self.clock.now
             del raw  # a list of thousands is not kept for as long as the next watch waits
             if not whole and news.version < self.version:
                 self.whole_next = True  # another discovery, or one that has begun anew
--- a/tests/test_transient_faults.py
+++ b/tests/test_transient_faults.py
@@ -20,6 +20,7 @@
 from scenario import World, scenario
 from test_crossings import LOOK, UNSAFE, Late, say, until
 
+from gorsefork.memory.registry import START_TOLD_WITHIN, Host, News, Registry
 from gorsefork.wire.stream import LOCAL_FAULTS, Stream, listening_socket
 
 SHORT_OF_SOMETHING = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -272,3 +273,43 @@
                 await world.play("box wait idle")
 
         scenario("", then=then)
+
+
+class TestStartsUnderAStep:
+    """A backend's start is told in Unix time; this machine's wall clock, or its own, may be an hour off."""
+
+    def held(self, host: Host, since: int, now: int) -> int:
+        told: list[News] = []
+        registry = Registry(told.append, lambda _: None, lambda: now)
+        registry.apply(News("cached", 1, (Host("old", "127.0.0.1:1", "ready", 5),)))
+        registry.apply(News("delta", 2, (host,), since))
+        return told[-1].hosts[0].started
+
+    @pytest.mark.parametrize("name", ["old", "new"])
+    def test_one_that_has_just_started_is_cold_whatever_the_clock_says(self, name: str) -> None:
+        now = 2 * HOUR
+        host = Host(name, "127.0.0.1:1", "ready", now - HOUR - 100_000)  # by a clock that is an hour ahead
+        assert self.held(host, now - 300_000, now) == now - 300_000 - START_TOLD_WITHIN
+
+    def test_a_start_ahead_of_now_is_no_reason_to_take_it_for_cold_for_an_hour(self) -> None:
+        now = 2 * HOUR
+        assert self.held(Host("new", "127.0.0.1:1", "ready", now + HOUR), now - 300_000, now) == now
+
+    def test_a_start_that_can_be_as_told_holds_as_told(self) -> None:
+        now = 2 * HOUR
+        start = now - 500_000
+        assert self.held(Host("new", "127.0.0.1:1", "ready", start), now - 300_000, now) == start
+
+    def test_after_an_outage_of_discovery_a_start_within_it_holds_as_told(self) -> None:
+        now = 2 * HOUR
+        start = now - 20_000_000
+        assert self.held(Host("new", "127.0.0.1:1", "ready", start), now - 30_000_000, now) == start
+
+    def test_one_that_is_told_again_keeps_its_start(self) -> None:
+        told: list[News] = []
+        times = iter((2 * HOUR, 2 * HOUR + 9_000_000))
+        registry = Registry(told.append, lambda _: None, lambda: next(times))
+        host = Host("new", "127.0.0.1:1", "ready", HOUR)
+        registry.apply(News("delta", 2, (host,), 2 * HOUR))
+        registry.apply(News("full", 3, (host,), 2 * HOUR + 8_000_000))
+        assert [each.hosts[0].started for each in told] == [2 * HOUR - START_TOLD_WITHIN] * 2
