Read a token's expiry by the ingress's own clock, which no step moves

What callers would see: good tokens turned away, or expired ones let in, after the machine's wall clock was stepped by an hour. Cause: the introspection client read time.time(), while the check before a first byte goes by the process's clock. Both now go by the latter. Evidence: a test for a step in each direction, with a good and an expired token; it failed with time.time().

--- a/gorsefork/wire/introspection_client.py
+++ b/gorsefork/wire/introspection_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import time
 from collections import deque
 from collections.abc import Callable
 from urllib.parse import quote_plus, urlencode
@@ -94,7 +93,7 @@
                 raise Unavailable(f"status {status}")
             if media.partition(";")[0].strip().lower() != "application/json":
                 raise Malformed("not application/json")
-            claims = read_claims(body, time.time())
+            claims = read_claims(body, self.clock.unix(self.clock.now))
             if http.our_state is h11.DONE and http.their_state is h11.DONE:
                 http.start_next_cycle()
                 keep = not http.trailing_data[0]
--- a/tests/test_transient_faults.py
+++ b/tests/test_transient_faults.py
@@ -8,6 +8,7 @@
 import errno
 import os
 import socket
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from types import SimpleNamespace
@@ -313,3 +314,24 @@
         registry.apply(News("delta", 2, (host,), 2 * HOUR))
         registry.apply(News("full", 3, (host,), 2 * HOUR + 8_000_000))
         assert [each.hosts[0].started for each in told] == [2 * HOUR - START_TOLD_WITHIN] * 2
+
+
+class TestTokensUnderAStep:
+    @pytest.mark.parametrize("step", [HOUR // 1_000_000, -HOUR // 1_000_000])
+    def test_a_step_of_the_wall_clock_neither_ends_a_token_nor_brings_one_back(self, step: int) -> None:
+        async def then(world: World) -> None:
+            now = round(world.clock.unix(world.clock.now))
+            good = '{"active": true, "client_id": "museum", "scope": "tour.buy", "exp": %d}'
+            shifted = time.time() + step
+            with mock.patch.object(time, "time", lambda: shifted):
+                for exp, ends in (
+                    (now + 60, "box expect POST /buy\nbox send 200 | sold\nc1 expect 200"),
+                    (now - 60, "c1 expect 401"),
+                ):
+                    await world.play(
+                        f"c1 send POST /buy token=t1 Idempotency-Key=k{exp} | two\n"
+                        "oauth expect POST /introspect\n"
+                        f"oauth send 200 Content-Type=application/json | {good % exp}\n{ends}"
+                    )
+
+        scenario("", then=then)
