Let the next version of an ingress go on by the time of the one before

What callers would see: where the wall clock is stepped between the starts of two versions of one ingress, a customer's room is filled by the step (an hour of its rate) or stands still for as long, and its counts go under other names. Cause: accounts are handed over with times of the module, which are Unix time, and each process takes its own offset at its start. Both are on one machine and share the monotonic clock, so the hello now carries the offset, and the next one takes it over if it differs by 1 s or more. An older version before it does not tell and changes nothing.

--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -26,6 +26,7 @@
 from gorsefork.wire.discovery import DiscoveryWatch
 from gorsefork.wire.services.succession import HELLO_WITHIN, VERSION, BadLink, Link, Message, Place
 
+STEP_FROM = 1_000_000  # us by which the wall clock differs from that of the one before, where it was stepped
 UNSERVED, LOOK_EVERY = 1.0, 0.05  # s for which clients wait on the socket all the time: nobody takes there
 
 
@@ -119,6 +120,7 @@
     def learn(self, hello: Mapping[str, Any]) -> None:
         if hello.get("version") != VERSION or hello.get("name") != self.ingress.config.name:
             raise BadLink(f"it is {hello.get('name')!r}, version {hello.get('version')!r}")
+        self.keep_clock(hello.get("unix_offset"))
         registry, list_ = self.ingress.registry, hello["list"]
         hosts = tuple(
             Host(str(n), str(d), s, int(at), str(site), str(kind), int(block), float(share))
@@ -137,6 +139,16 @@
             registry.retell(name)
         self.ingress.serving.send_away(bool(hello["away"]))
 
+    def keep_clock(self, offset: Any) -> None:
+        """Go on with the Unix time of the one before. Guards against a wall clock that was stepped between
+        the two starts: customers' quotas would be filled by the step, and their counts have other names."""
+        clock = self.ingress.clock
+        if not isinstance(offset, int) or abs(clock.unix_offset - offset) < STEP_FROM:
+            return
+        step, clock.unix_offset = clock.unix_offset - offset, offset
+        self.ingress.registry.move_starts(step)
+        self.note(f"the wall clock was stepped by {step / 1e6:.0f} s; the time of the one before holds on")
+
     async def follow(self) -> None:
         """Wait, once ready, until this process is the one that takes; then be the one that is followed."""
         await self.ingress.ready.wait()
@@ -223,6 +235,7 @@
         return {
             "version": VERSION,
             "name": self.ingress.config.name,
+            "unix_offset": self.ingress.clock.unix_offset,
             "away": self.ingress.serving.away,
             "seen": list(registry.seen),
             "down": registry.down,
--- a/gorsefork/memory/registry.py
+++ b/gorsefork/memory/registry.py
@@ -143,6 +143,12 @@
         if start != host.started:
             self.starts[host.name] = start
 
+    def move_starts(self, by: int) -> None:
+        """The offset between Unix time and this machine's clock is another by so many microseconds."""
+        for name, host in self.hosts.items():
+            if host.started:
+                self.hosts[name] = replace(host, started=host.started + by)
+
     @property
     def seen(self) -> list[str]:
         """The ids that were ever listed, within the bound; those listed now last."""
--- a/tests/test_transient_faults.py
+++ b/tests/test_transient_faults.py
@@ -21,6 +21,8 @@
 from scenario import World, scenario
 from test_crossings import LOOK, UNSAFE, Late, say, until
 
+from gorsefork.life.handover import Handover
+from gorsefork.memory.clock import Clock
 from gorsefork.memory.registry import START_TOLD_WITHIN, Host, News, Registry
 from gorsefork.wire.backends import REST_FOR
 from gorsefork.wire.stream import LOCAL_FAULTS, Stream, listening_socket
@@ -361,6 +363,31 @@
         assert [each.hosts[0].started for each in told] == [2 * HOUR - START_TOLD_WITHIN] * 2
 
 
+class TestHandoverUnderAStep:
+    """The wall clock was stepped by an hour between the starts of two versions of one ingress."""
+
+    @pytest.mark.parametrize(("step", "kept"), [(HOUR, True), (-HOUR, True), (300_000, False)])
+    def test_the_next_version_goes_on_by_the_time_of_the_one_before(self, step: int, kept: bool) -> None:
+        clock = Clock()
+        before = clock.unix_offset
+        clock.unix_offset += step
+        registry = Registry(lambda _: None, lambda _: None)
+        started = clock.from_unix_ms(before // 1000)
+        registry.apply(News("cached", 1, (Host("old", "127.0.0.1:1", "ready", started),)))
+        handover = Handover.__new__(Handover)
+        handover.ingress = SimpleNamespace(clock=clock, registry=registry, log=lambda *_, **__: None)
+        handover.keep_clock(before)
+        assert clock.unix_offset == (before if kept else before + step)
+        assert registry.hosts["old"].started == clock.from_unix_ms(before // 1000)
+
+    @pytest.mark.parametrize("nonsense", [None, "soon", 1.5, []])
+    def test_one_before_that_does_not_tell_its_time_changes_nothing(self, nonsense: object) -> None:
+        handover = Handover.__new__(Handover)
+        handover.ingress = SimpleNamespace(clock=SimpleNamespace(unix_offset=5))
+        handover.keep_clock(nonsense)
+        assert handover.ingress.clock.unix_offset == 5
+
+
 class TestTokensUnderAStep:
     @pytest.mark.parametrize("step", [HOUR // 1_000_000, -HOUR // 1_000_000])
     def test_a_step_of_the_wall_clock_neither_ends_a_token_nor_brings_one_back(self, step: int) -> None:
