Play real ingresses under failing system calls, clocks, signals and peers, by seed

Clients, backends and discovery on loopback record what they see, an oracle judges by that alone, and a break comes with its request's timeline over all processes.

--- /dev/null
+++ b/gorsefork/lab/faults/draw.py
@@ -0,0 +1,85 @@
+"""What one play is, drawn from its seed: the size, the deadlines, the kinds of fault and the signals."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from typing import Literal, cast, get_args
+
+from gorsefork.lab.faults.clients import Manners
+from gorsefork.lab.faults.plan import Call, Plan, Rule
+from gorsefork.lab.faults.servers import Trouble
+
+Kind = Literal[
+    "accept", "socket", "connect", "short", "hold", "clock", "restart", "series", "leave", "stop", "crowd",
+    "backend", "drain", "discovery",
+]  # fmt: skip
+KINDS: tuple[Kind, ...] = get_args(Kind)
+ERRORS: dict[str, tuple[str, ...]] = {
+    "accept": ("ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"),
+    "socket": ("ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"),
+    "connect": ("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS"),
+}
+TROUBLES: tuple[Trouble, ...] = ("hangs", "errors", "resets", "turns away", "breaks off", "never ends")
+HOUR = 3600.0  # s
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """``longest``: the longest deadline in seconds, by which SIGKILL follows SIGTERM."""
+
+    seed: int
+    kinds: tuple[Kind, ...]
+    seconds: float
+    ingresses: int
+    longest: float
+    manners: Manners
+    plans: tuple[Plan, ...]  # by ingress
+
+    @property
+    def kill_after(self) -> float:
+        """Seconds from SIGTERM to SIGKILL, as soon as the page allows it."""
+        return min(3.0, self.longest) + 0.7
+
+
+def draw(seed: int, kinds: tuple[Kind, ...] = (), seconds: float = 20.0) -> Play:
+    """The play of a seed: two to five kinds unless they are given. The same seed gives the same play."""
+    rng = random.Random(seed)
+    drawn = tuple(sorted(rng.sample(KINDS, rng.randint(2, 5))))
+    kinds = kinds or drawn
+    longest = rng.choice((0.6, 0.9, 2.0))
+    ingresses = rng.choice((3, 3, 3, 4, 6))
+    manners = Manners(rate=rng.choice((60.0, 120.0)), waits=(0.3, longest))
+    if "leave" in kinds:
+        manners = replace(manners, leaves=0.15)
+    if "stop" in kinds:
+        manners = replace(manners, stops=0.03)
+    if "crowd" in kinds:
+        manners = replace(manners, crowd=120)
+    plans = tuple(plan(rng, kinds) for _ in range(ingresses))
+    return Play(seed, kinds, seconds, ingresses, longest, manners, plans)
+
+
+def plan(rng: random.Random, kinds: tuple[Kind, ...]) -> Plan:
+    """What fails in one ingress."""
+    rules: list[Rule] = []
+    for call in ("accept", "socket", "connect"):
+        if call in kinds:
+            named = cast(Call, call)
+            rate = rng.choice((0.1, 0.4))
+            rules += [
+                Rule(call=named, effect="error", error=error, rate=rate / len(ERRORS[call]))
+                for error in ERRORS[call]
+            ]
+    if "short" in kinds:
+        rules.append(Rule(call="recv", effect="short", most=rng.choice((1, 7, 60)), rate=0.3))
+        rules.append(Rule(call="sendmsg", effect="short", most=rng.choice((1, 7, 60)), rate=0.3))
+    if "hold" in kinds:
+        rules.append(Rule(call="wait", effect="hold", seconds=0.14, rate=0.005))
+        rules.append(Rule(call="sendmsg", effect="hold", seconds=0.14, rate=0.005))
+    ahead = 0.0
+    steps: tuple[tuple[float, float], ...] = ()
+    if "clock" in kinds:
+        ahead = rng.choice((0.0, HOUR, -HOUR))
+        steps = tuple((rng.uniform(1.0, 15.0), rng.choice((-HOUR, -5.0, 5.0, HOUR))) for _ in range(2))
+    return Plan(seed=rng.randrange(1 << 30), rules=tuple(rules), clock_ahead=ahead, clock_steps=steps)
--- /dev/null
+++ b/gorsefork/lab/faults/oracle.py
@@ -0,0 +1,160 @@
+"""Which rules of the protocol a play broke, by the records of clients, backends and discovery alone.
+
+Each rule is strict. Its sentence stands beside it, from the protocol page and the standing test.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Literal
+
+from gorsefork.lab.faults.records import Attempt, Records, Request, Told
+
+Rule = Literal["lost", "wrong", "duplicate", "window", "gone", "drain", "deadline", "crash", "ready"]
+
+SLACK = 0.05  # s by which every time limit grows on sockets
+LATE = 0.5  # s after its time until which an answer only earns nothing
+GONE = 0.1  # s after the client's close until which an attempt may begin
+DEADLINE_SLACK = 0.15  # s by which a backend may be told more than the client has left
+TOLD_WITHIN = 6.0  # s after discovery had a change and could be reached: it counts as told
+READY_WITHIN = 30.0  # s
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the deployment's settings say, in seconds."""
+
+    drain_grace: float
+    window: float  # for repeats under a key
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """One broken rule; ``id`` is the request's, or empty."""
+
+    rule: Rule
+    at: float
+    id: str
+    text: str
+
+
+def judge(records: Records, limits: Limits) -> list[Break]:
+    """All breaks in the order of their times."""
+    by_id: defaultdict[str, list[Attempt]] = defaultdict(list)
+    for attempt in records.attempts:
+        by_id[attempt.id].append(attempt)
+    breaks = list(lives(records))
+    for request in records.requests.values():
+        attempts = sorted(by_id[request.id], key=lambda each: each.begun_at)
+        breaks += answers(request, attempts, records)
+        breaks += repeats(request, attempts, limits)
+        breaks += times(request, attempts)
+    breaks += drains(records, limits)
+    return sorted(breaks, key=lambda each: each.at)
+
+
+def lives(records: Records) -> Iterator[Break]:
+    """ "No ingress crashes, takes over 30 s to be ready." One that ends after SIGTERM has not crashed."""
+    for life in records.lives:
+        name = f"ingress {life.ingress}"
+        if not life.ready_at or life.ready_at > life.started_at + READY_WITHIN:
+            yield Break("ready", life.started_at, "", f"{name} was not ready in {READY_WITHIN} s")
+        if life.ended_at and (not life.told_to_end_at or life.status not in (0, None)):
+            yield Break("crash", life.ended_at, "", f"{name} ended by itself with {life.status}")
+
+
+def answers(request: Request, attempts: list[Attempt], records: Records) -> Iterator[Break]:
+    """Exactly one final answer a call. "One that has been read and whose connection is closed with no answer
+    is lost, on a new connection too." A close that crosses a request which was not read is no loss: its
+    client sends it once more; that it was read shows where an attempt of it was made."""
+    if request.end == "answered" and request.body != records.bodies.get(request.id):
+        yield Break("wrong", request.ended_at, request.id, "its answer is not what a backend made for it")
+    if request.end in ("answered", "refused", "failed") and late(request):
+        text = f"answered {request.ended_at - due(request):.3f} s late"
+        yield Break("lost", request.ended_at, request.id, text)
+    if request.end == "no answer":
+        yield Break("lost", request.ended_at, request.id, "no answer 0.5 s after its time")
+    if request.end == "connection ended" and (not request.kept or attempts):
+        kind = "kept" if request.kept else "new"
+        yield Break("lost", request.ended_at, request.id, f"its {kind} connection ended with no answer")
+
+
+def due(request: Request) -> float:
+    return request.sent_at + request.waits
+
+
+def late(request: Request) -> bool:
+    return request.ended_at > due(request) + LATE + SLACK
+
+
+def repeats(request: Request, attempts: list[Attempt], limits: Limits) -> Iterator[Break]:
+    """ "Unsafe classes never have two attempts out", and such a request is sent again "only where the attempt
+    before surely never ran". Under a key there are repeats within its window only."""
+    ran: Attempt | None = None
+    for attempt in (each for each in attempts if each.whole_at):
+        if ran is not None and request.effect == "once":
+            yield Break("duplicate", attempt.whole_at, request.id, f"again at {attempt.backend}")
+        if ran is not None and request.effect == "by_key":
+            since = attempt.begun_at - ran.whole_at
+            if since > limits.window + SLACK:
+                yield Break("window", attempt.begun_at, request.id, f"repeated {since:.3f} s after the first")
+        if ran is None and attempt.end != "refused":
+            ran = attempt
+
+
+def times(request: Request, attempts: list[Attempt]) -> Iterator[Break]:
+    """ "An attempt that begins more than 0.1 s after the client has closed is a lost request." "The deadline
+    passed to a server is at most what the client has left, with 0.15 s of slack." """
+    for attempt in attempts:
+        after = attempt.begun_at - request.ended_at
+        if request.end == "left" and after > GONE + SLACK:
+            yield Break(
+                "gone", attempt.begun_at, request.id, f"begun {after:.3f} s after its client had left"
+            )
+        if not request.sent_at:
+            continue
+        more = attempt.told - (due(request) - attempt.begun_at)
+        if more > DEADLINE_SLACK + SLACK:
+            yield Break("deadline", attempt.begun_at, request.id, f"told {more:.3f} s more than is left")
+
+
+def drains(records: Records, limits: Limits) -> Iterator[Break]:
+    """ "Sent to a draining or removed endpoint": from the grace after it was told, by the send's first byte.
+    A change "counts as told at the latest 6 s after discovery had it and could be reached"."""
+    changes: defaultdict[str, list[Told]] = defaultdict(list)
+    for told in records.told:
+        changes[told.backend].append(told)
+    for attempt in records.attempts:
+        known = [
+            told for told in changes[attempt.backend] if known_at(told, attempt, records) <= attempt.begun_at
+        ]
+        leaving = last_to_leave(known)
+        if leaving is None:
+            continue
+        after = attempt.begun_at - known_at(leaving, attempt, records)
+        if after > limits.drain_grace + SLACK:
+            text = f"sent to {attempt.backend} {after:.3f} s after it was told to be {leaving.state}"
+            yield Break("drain", attempt.begun_at, attempt.id, text)
+
+
+def last_to_leave(known: list[Told]) -> Told | None:
+    """The first word that it is not to be sent to since it was active last; None if it is active."""
+    found = None
+    for told in known:
+        if told.state == "active":
+            found = None
+        elif found is None:
+            found = told
+    return found
+
+
+def known_at(told: Told, attempt: Attempt, records: Records) -> float:
+    """When this ingress counts as told."""
+    reached = told.had_at
+    for begun, ended in records.outages:
+        if begun <= reached < ended:
+            reached = ended
+    written = told.written_at.get(attempt.ingress, float("inf"))
+    return min(written, reached + TOLD_WITHIN)
--- /dev/null
+++ b/gorsefork/lab/faults/play.py
@@ -0,0 +1,232 @@
+"""One play: real processes under the shim, stand-ins round them, signals, and the oracle's word on it."""
+
+from __future__ import annotations
+
+import random
+import signal
+import socket
+import subprocess
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from gorsefork.lab.faults.clients import Clients, Door
+from gorsefork.lab.faults.draw import TROUBLES, Play
+from gorsefork.lab.faults.oracle import Break, Limits, judge
+from gorsefork.lab.faults.process import ShimmedIngress
+from gorsefork.lab.faults.records import Life, Records
+from gorsefork.lab.faults.servers import Backend, Discovery
+from gorsefork.lab.faults.timeline import timeline
+
+NS = 1_000_000_000
+BACKENDS = 5
+LIMITS = Limits(drain_grace=0.25, window=1.0)
+FRONT_NOTICES = (0.2, 0.4)  # s after SIGTERM for which new connections go on coming
+DOWN_FOR = 0.5  # s between a process's end and its next start
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """``lines``: the timelines of the first breaks."""
+
+    seed: int
+    kinds: tuple[str, ...]
+    requests: int
+    answered: int
+    breaks: tuple[Break, ...]
+    injected: int
+    lines: tuple[str, ...]
+
+
+class Stage:
+    """All that one play needs, put together."""
+
+    def __init__(self, play: Play, folder: Path) -> None:
+        self.play, self.folder = play, folder
+        self.rng = random.Random(play.seed + 1)
+        self.records = Records()
+        self.backends = [
+            Backend(f"b{number}", self.records, random.Random(play.seed * 100 + number))
+            for number in range(BACKENDS)
+        ]
+        self.discovery = Discovery(self.backends, self.records)
+        self.doors = [Door(number) for number in range(play.ingresses)]
+        self.processes: list[ShimmedIngress] = []
+        self.lives: list[Life] = []
+        self.clients = Clients(self.doors, self.records, play.manners, play.seed + 2)
+
+    def config(self, number: int) -> dict[str, object]:
+        deadline = round(self.play.longest * NS)
+        shared = {"aim": deadline // 3, "deadline": deadline}
+        hosts = self.discovery.whole(number)["hosts"]
+        return {
+            "name": f"n{number}",
+            "listen": f"127.0.0.1:{self.doors[number].port}",
+            "discovery": self.discovery.dials[number],
+            "seed": str(self.play.seed),
+            "limits": {"sockets": 256},
+            "known": {"seq": 1, "whole": True, "hosts": hosts},
+            "settings": {
+                "balancers": self.play.ingresses,
+                "me": number,
+                "step": 4_000_000,
+                "registryMode": "subscribe",
+                "classes": [
+                    {"name": "look", **shared},
+                    {"name": "buy", **shared, "effect": "by_key", "keyScope": "all", "window": NS},
+                    {"name": "pay", **shared, "effect": "once"},
+                ],
+                "tiersOfService": [{"name": "open"}],
+                "limits": {
+                    "maxAttempts": 4,
+                    "cancel": True,
+                    "secondCopies": True,
+                    "retryAfter": True,
+                    "maxRetryAfter": NS,
+                    "connectTimeout": NS // 4,
+                    "keepalive": 5 * NS,
+                },
+                "invariants": {"drainGrace": NS // 4, "coldShare": 1.0, "rampTime": 1_000_000},
+            },
+        }
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for backend in self.backends:
+                backend.open(nursery, self.play.ingresses)
+            self.discovery.open(nursery, self.play.ingresses)
+            self.processes = [
+                ShimmedIngress(self.folder / f"n{number}", {}, plan)
+                for number, plan in enumerate(self.play.plans)
+            ]
+            self.lives = [Life(number, 0.0) for number in range(self.play.ingresses)]
+            async with trio.open_nursery() as starting:
+                for number in range(self.play.ingresses):
+                    starting.start_soon(self.start, number)
+            for trouble in (self.restarts, self.troubles, self.drains, self.outages):
+                nursery.start_soon(trouble)
+            nursery.start_soon(self.watch)
+            await self.clients.run(self.play.seconds)
+            nursery.cancel_scope.cancel()
+
+    async def start(self, number: int) -> None:
+        door, process = self.doors[number], self.processes[number]
+        door.port = door.port or free_port()
+        process.config = self.config(number)
+        life = self.lives[number] = Life(number, time.monotonic())
+        self.records.lives.append(life)
+        await trio.to_thread.run_sync(process.start)
+        life.ready_at, door.open = time.monotonic(), True
+
+    async def watch(self) -> None:
+        """Notice a process that ends by itself."""
+        while True:
+            await trio.sleep(0.02)
+            for number, process in enumerate(self.processes):
+                life = self.lives[number]
+                if process.process is not None and not life.ended_at and process.process.poll() is not None:
+                    life.ended_at, life.status = time.monotonic(), process.process.returncode
+                    self.doors[number].open = False
+
+    async def restarts(self) -> None:
+        kinds, rng = self.play.kinds, self.rng
+        if not {"restart", "series"} & set(kinds):
+            return
+        while True:
+            await trio.sleep(rng.uniform(1.0, 3.0))
+            count = rng.randint(2, self.play.ingresses - 1) if "series" in kinds and rng.random() < 0.3 else 1
+            async with trio.open_nursery() as nursery:
+                for number in rng.sample(range(self.play.ingresses), count):
+                    nursery.start_soon(self.restart, number)
+
+    async def restart(self, number: int) -> None:
+        """SIGTERM, and SIGKILL as soon as the page allows it; with ``series`` other signals between."""
+        life, process = self.lives[number], self.processes[number].process
+        assert process is not None
+        if life.ended_at or life.told_to_end_at:
+            return
+        if "series" in self.play.kinds and self.rng.random() < 0.5:
+            process.send_signal(signal.SIGHUP)
+        life.told_to_end_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.front_notices, number)
+            if "series" in self.play.kinds:
+                nursery.start_soon(self.more_signals, process)
+            await trio.sleep_until(trio.current_time() + self.play.kill_after)
+            nursery.cancel_scope.cancel()
+        self.doors[number].open = False
+        if process.poll() is None:
+            process.kill()
+            life.killed_at = life.ended_at = time.monotonic()
+            process.wait()
+        self.doors[number].kept.clear()
+        await trio.sleep(DOWN_FOR)
+        await self.start(number)
+
+    async def front_notices(self, number: int) -> None:
+        await trio.sleep(self.rng.uniform(*FRONT_NOTICES))
+        self.doors[number].open = False
+        await trio.sleep_forever()
+
+    async def more_signals(self, process: subprocess.Popen[bytes]) -> None:
+        for each in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            await trio.sleep(self.rng.uniform(0.05, 0.3))
+            if process.poll() is None:
+                process.send_signal(each)
+
+    async def troubles(self) -> None:
+        while "backend" in self.play.kinds:
+            await trio.sleep(self.rng.uniform(0.3, 1.5))
+            backend = self.rng.choice(self.backends)
+            backend.trouble, backend.share = self.rng.choice(TROUBLES), self.rng.choice((0.2, 1.0))
+            self.rng.choice(self.backends).trouble = "none"
+
+    async def drains(self) -> None:
+        """One drains, leaves and is active again, in turn; two at least stay."""
+        while "drain" in self.play.kinds:
+            await trio.sleep(self.rng.uniform(0.5, 2.0))
+            backend = self.rng.choice(self.backends[2:])
+            after = {"active": "leaving", "leaving": "left", "left": "active"}
+            self.discovery.change(backend, after[backend.state])
+
+    async def outages(self) -> None:
+        while "discovery" in self.play.kinds:
+            await trio.sleep(self.rng.uniform(1.0, 4.0))
+            await self.discovery.silence(self.rng.uniform(0.5, 8.0))
+
+    def end(self) -> None:
+        for process in self.processes:
+            process.end()
+
+
+def run(play: Play, folder: Path) -> Result:
+    """Play it; ``folder`` keeps the logs."""
+    stage = Stage(play, folder)
+    try:
+        trio.run(stage.run)
+    finally:
+        stage.end()
+    breaks = judge(stage.records, LIMITS)
+    injected = {number: list(process.injected()) for number, process in enumerate(stage.processes)}
+    lines: list[str] = []
+    for found in breaks[:3]:
+        lines += [f"{found.rule} {found.id}: {found.text}", *timeline(found, stage.records, injected)]
+    requests = stage.records.requests.values()
+    return Result(
+        play.seed,
+        play.kinds,
+        len(requests),
+        sum(request.end == "answered" for request in requests),
+        tuple(breaks),
+        sum(map(len, injected.values())),
+        tuple(lines),
+    )
+
+
+def free_port() -> int:
+    """One that an ingress keeps over its restarts."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
--- a/gorsefork/lab/faults/process.py
+++ b/gorsefork/lab/faults/process.py
@@ -32,6 +32,7 @@
     env: Mapping[str, str] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = None
     port: int = 0
+    logged: int = 0  # bytes of the log that earlier lives wrote
 
     def start(self) -> None:
         """Begin the process and wait until it is ready. ``NotReady`` if it does not come to that."""
@@ -45,7 +46,9 @@
             LOG_VARIABLE: str(self.folder / "faults.log"),
             **self.env,
         }
-        with (self.folder / "log").open("wb") as log:
+        path = self.folder / "log"
+        self.logged = path.stat().st_size if path.exists() else 0
+        with path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "gorsefork.lab.faults.shim"], env=env, stderr=log
             )
@@ -56,7 +59,7 @@
         assert self.process is not None
         until = time.monotonic() + READY_WITHIN
         while time.monotonic() < until:
-            if found := re.search(r"ready on [0-9.]+:(\d+)", self.log()):
+            if found := re.search(r"ready on [0-9.]+:(\d+)", self.log()[self.logged :]):
                 return int(found[1])
             if self.process.poll() is not None:
                 break
@@ -64,7 +67,8 @@
         raise NotReady(self.log())
 
     def log(self) -> str:
-        return (self.folder / "log").read_text(encoding="utf-8", errors="replace")
+        """All that it has logged, in all its lives."""
+        return (self.folder / "log").read_bytes().decode("latin-1")
 
     def injected(self) -> list[dict[str, Any]]:
         """What the shim has told so far."""
