Try accept again at once if it fails for a moment, so that the backlog does not grow

Cause: each failure for want of descriptors or memory ended the look at the backlog for 20 ms. A step now ends only after 16 such failures.

--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -20,6 +20,7 @@
 
 BACKLOG = 1024
 MOST_AT_ONCE = 4 * BACKLOG  # connections taken in one step; a listener that only ever fails ends it too
+FAILURES_AT_ONCE = 16  # of accept, for want of descriptors or memory, from which that is no passing moment
 BACKLOG_RETRY = 0.005  # s between looks at a backlog that could not be emptied, as the listener closes
 FIRST_BYTES = 1.0  # s that a new connection may stay silent once this ingress closes
 
@@ -102,7 +103,7 @@
 
     def accept_ready(self) -> bool:
         """Take in all that waits; False if there is no room for more just now."""
-        came = self.arrival.earliest()
+        came, failures = self.arrival.earliest(), 0
         for _ in range(MOST_AT_ONCE):
             if len(self.connections) >= self.most and not self.evict():
                 return not self.backlog_waits()
@@ -118,7 +119,10 @@
             except OSError as error:
                 if error.errno in BROKEN_ON_ITS_WAY:
                     continue  # as it comes, so it goes: others wait behind it, maybe as the listener closes
-                return False  # no descriptor is left: the backlog keeps the rest
+                failures += 1
+                if failures >= FAILURES_AT_ONCE:
+                    return False  # no descriptor is left: the backlog keeps the rest
+                continue
             connection = ClientConnection(Stream(sock), self, came)
             self.connections.add(connection)
             self.idle[connection] = self.clock.now
