--- a/gorsefork/lab/faults/servers.py
+++ b/gorsefork/lab/faults/servers.py
@@ -107,7 +107,10 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.watch_for_end, stream, attempt, nursery.cancel_scope)
-                await self.meet(stream, attempt, met)
+                try:
+                    await self.meet(stream, attempt, met)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    attempt.end = "given up"
                 nursery.cancel_scope.cancel()
         finally:
             attempt.ended_at = time.monotonic()
@@ -122,6 +125,8 @@
             data = await stream.receive_some()
         except trio.BrokenResourceError:
             data = b""
+        except trio.ClosedResourceError:  # this side's own end
+            return
         if not data:
             attempt.end = "given up"
             scope.cancel()
--- a/tests/test_fault_oracle.py
+++ b/tests/test_fault_oracle.py
@@ -54,6 +54,14 @@
     assert broken(played(replace(ASKED, end="connection ended"))) == []
 
 
+def test_in_a_crowd_a_new_connection_may_be_shut_unread_but_not_read() -> None:
+    ended = replace(ASKED, end="connection ended", kept=False)
+    crowd = replace(LIMITS, crowd=True)
+    assert [found.rule for found in judge(played(ended), LIMITS)] == ["lost"]
+    assert judge(played(ended), crowd) == []
+    assert [found.rule for found in judge(played(ended, TRIED), crowd)] == ["lost"]
+
+
 @pytest.mark.parametrize(
     ("effect", "first", "again_at", "rules"),
     [
