Force the close and the new connection into one turn in the test of a client that leaves

Now the close is made in the same step: without the look at the client's connection the test fails, with it it passes.

--- a/tests/test_transient_faults.py
+++ b/tests/test_transient_faults.py
@@ -286,7 +286,7 @@
                 with late.patch():
                     await world.play("c1 send GET /look")
                     await late.asked.wait()
-                    await world.play("c1 close")
+                    world.clients.pop("c1").stream.socket.close()
                     late.release.set()
                     await trio.testing.wait_all_tasks_blocked(0.001)
                 await world.play("box wait idle")
