Log the states of a drain: begun, listeners closed, ended, with the calls in hand

Need: the incident's logs held nothing but "ready", so that a request in a drain could not be placed from the ingress's own word. Three lines a process's life, none a request.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -320,9 +320,15 @@
         longest = max(cls.deadline for cls in self.config.settings.classes)
         return min(LONGEST_COUNTED, longest) + FINISH_AFTER
 
+    def open_calls(self) -> int:
+        """Calls that have no final answer yet."""
+        return sum(not call.over for call in self.decider.calls.values())
+
     async def drain(self) -> None:
         """Finish what was taken: new connections for a while yet, then only the calls in hand."""
         began, self.serving.closing = trio.current_time(), True
+        waiting = self.open_calls()
+        self.log(f"gorsefork: drains, with {waiting} calls in hand", event="drain.begun", open_calls=waiting)
         followed = self.handover is not None and self.handover.next is not None
         if followed:
             self.acceptors[0].cease()
@@ -338,6 +344,7 @@
             for acceptor in self.acceptors:
                 if not followed or acceptor is not self.acceptors[0]:
                     nursery.start_soon(acceptor.stop_listening, began + self.finish_within() - LAST_REQUESTS)
+        self.log("gorsefork: takes no more connections", event="drain.listeners_closed")
         await trio.sleep(LAST_REQUESTS)
         while trio.current_time() < began + self.finish_within() and (
             any(acceptor.busy() for acceptor in self.acceptors)
@@ -346,8 +353,10 @@
             await trio.sleep(LOOK_EVERY)
         for acceptor in self.acceptors:
             acceptor.end_reading()
+        given_up = self.open_calls()
         self.decider.post(i.Closing())
         await trio.sleep(LAST_WRITES)
+        self.log(f"gorsefork: drained; {given_up} calls given up", event="drain.ended", given_up=given_up)
         while any(a.pouring() for a in self.acceptors) and trio.current_time() < began + POUR_MOST:
             await trio.sleep(LOOK_EVERY)
         if self.extra is not None:
--- a/tests/test_fault_signals.py
+++ b/tests/test_fault_signals.py
@@ -49,6 +49,12 @@
             assert final_answer_after(client, sent) <= WAITS + SLACK
             attempt.close()
         assert program.process.wait(DRAINED_WITHIN) == 0
+        states = [line for line in program.log().splitlines() if "drain" in line or "no more" in line]
+        assert states == [
+            "gorsefork: drains, with 1 calls in hand",
+            "gorsefork: takes no more connections",
+            "gorsefork: drained; 0 calls given up",
+        ]
     finally:
         program.end()
 
