Tell the machine's own holds apart from the faults that a play injects

Breaks keep their place in the results, with the hold beside them; only those with none beyond 0.15 s fail a run. The oracle's rules are as they were.

--- a/gorsefork/cli/lab.py
+++ b/gorsefork/cli/lab.py
@@ -92,7 +92,7 @@
         if out is not None:
             report.append(results[-1], out)
     click.echo("\n" + report.summary(results))
-    broken = [each for each in results if each.breaks]
+    broken = [each for each in results if each.broken]
     for each in broken:
         click.echo("\n".join(each.lines))
     if broken:
@@ -109,7 +109,7 @@
     from gorsefork.lab.faults import report
 
     result = report.play_seed(seed, report.kinds_named(kinds), seconds)
-    if shrink and result.breaks:
+    if shrink and result.broken:
         result = report.shrunk(result, seconds, show)
     click.echo("\n".join((report.summary([result]), *result.lines)))
 
--- a/gorsefork/lab/faults/records.py
+++ b/gorsefork/lab/faults/records.py
@@ -67,6 +67,16 @@
     ended_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """A process that the machine held up, from outside of the play. ``who`` is an ingress, or -1: the
+    stand-ins and clients themselves."""
+
+    who: int
+    since: float
+    seconds: float
+
+
 @dataclass(slots=True)
 class Records:
     """All of one play. ``outages``: when discovery could not be reached."""
@@ -77,3 +87,4 @@
     lives: list[Life] = field(default_factory=list)
     outages: list[tuple[float, float]] = field(default_factory=list)
     bodies: dict[str, bytes] = field(default_factory=dict)  # what a backend made for each id
+    holds: list[Hold] = field(default_factory=list)
--- a/tests/test_fault_oracle.py
+++ b/tests/test_fault_oracle.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gorsefork.lab.faults.oracle import Limits, judge
-from gorsefork.lab.faults.records import Attempt, Life, Records, Request, Told
+from gorsefork.lab.faults.records import Attempt, Hold, Life, Records, Request, Told
 from gorsefork.lab.faults.timeline import timeline
 
 LIMITS = Limits(drain_grace=0.25, window=1.0)
@@ -132,6 +132,22 @@
     assert broken(played(ASKED, TRIED, life=life)) == rules
 
 
+@pytest.mark.parametrize(
+    ("hold", "told"),
+    [
+        (Hold(0, 10.5, 0.9), 0.9),
+        (Hold(-1, 10.5, 0.9), 0.9),
+        (Hold(0, 10.5, 0.14), 0.0),  # within the terms
+        (Hold(0, 7.0, 0.9), 0.0),  # long before
+        (Hold(0, 12.0, 0.9), 0.0),  # after it
+    ],
+)
+def test_a_break_is_told_with_the_hold_by_the_machine_that_it_fell_in(hold: Hold, told: float) -> None:
+    records = played(replace(ASKED, end="no answer", ended_at=11.5), TRIED)
+    records.holds.append(hold)
+    assert [found.held for found in judge(records, LIMITS)] == [told]
+
+
 def test_a_timeline_tells_a_request_over_all_that_saw_it() -> None:
     records = played(replace(ASKED, end="no answer", ended_at=11.5), replace(TRIED, end="hung"))
     (found,) = judge(records, LIMITS)
