Bound the reads of a connection that is closed, and end one that broke as it was accepted

Found on reading the changes again: a client that writes on and on could have kept the closing read busy, and a connection that breaks between accept(2) and its options would have ended the listener's task, as its options were set outside of what is caught since. Neither was seen; tests of both files pass.

--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -123,7 +123,12 @@
                 if failures >= FAILURES_AT_ONCE:
                     return False  # no descriptor is left: the backlog keeps the rest
                 continue
-            connection = ClientConnection(Stream(sock), self, came)
+            try:
+                stream = Stream(sock)
+            except OSError:  # broken since
+                sock.close()
+                continue
+            connection = ClientConnection(stream, self, came)
             self.connections.add(connection)
             self.idle[connection] = self.clock.now
             if self.closing:
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -39,6 +39,7 @@
 FLUSH_WITHIN = 10.0  # s that a client may take to read an answer, or a piece of a long one
 LINGER = 1.0  # s that a client has to read its last answer and close
 LINGER_REFUSED = 3.0  # the same where it still sends a body
+LAST_READS = 1024  # of a connection that is closed: its client may write on and on
 LAST_HEADS = 0.5  # s after SIGTERM for the rest of heads that have begun
 
 NO_CALL = frozenset((400, 404, 405, 409, 413, 431, 501, 505))  # the client's fault, whosever token it had
@@ -409,7 +410,9 @@
         self.paused = False  # or what it asked meanwhile would be read and left without an answer
         self.advance()
         with contextlib.suppress(OSError):  # it is closed below
-            while self.exchange is None and not self.last and (data := self.stream.receive_now()):
+            for _ in range(LAST_READS):
+                if self.exchange is not None or self.last or not (data := self.stream.receive_now()):
+                    break
                 self.take(data)
         if self.exchange is None and not self.last and not self.stream.closed:
             self.last = True
