--- a/gorsefork/lab/faults/shim.py
+++ b/gorsefork/lab/faults/shim.py
@@ -14,8 +14,10 @@
 import runpy
 import select
 import socket
+import sys
 import threading
 import time
+import traceback
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -24,6 +26,7 @@
 from gorsefork.lab.faults.plan import LOG_VARIABLE, PLAN_VARIABLE, Call, Plan, Rule, read
 
 WATCH_EVERY = 0.02  # s
+LONG_TURN = 0.25  # s of one turn of the program's loop, from which it is told where it is
 MACHINE_HELD_FROM = 0.1  # s by which a sleep ends late that the machine has held up
 
 SOCKET_CALLS: dict[str, Call] = {
@@ -46,6 +49,9 @@
         self.rng = random.Random(plan.seed)
         self.begun = time.monotonic()
         self.calls: Counter[Call] = Counter()
+        self.turn_since = math.inf  # when the loop's last wait ended; inf while it waits
+        self.turn_cpu = 0.0  # of the main thread, by then
+        self.slept = 0.0  # s of injected holds in this turn
 
     def rule_for(self, call: Call) -> Rule | None:
         """The first rule that this call meets. Told before it happens, so that a test may act on it."""
@@ -75,6 +81,27 @@
         line = {"monotonic": since, "call": "machine", "effect": "held", "what": f"{seconds:.3f} s"}
         os.write(self.log, json.dumps(line).encode() + b"\n")
 
+    def turn_begins(self, waits_since: float, timeout: float) -> None:
+        """The loop's wait has ended."""
+        self.turn_since, self.turn_cpu, self.slept = time.monotonic(), time.thread_time(), 0.0
+        late = self.turn_since - waits_since - timeout
+        if late >= MACHINE_HELD_FROM:
+            self.tell_held(waits_since + timeout, late)
+
+    def turn_ends(self) -> None:
+        """The loop is about to wait. Time in its turn that it neither ran nor was held by a rule is the
+        machine's: a processor of a virtual machine may be taken away under a thread."""
+        since, self.turn_since = self.turn_since, math.inf
+        if since < math.inf:
+            idle = time.monotonic() - since - (time.thread_time() - self.turn_cpu) - self.slept
+            if idle >= MACHINE_HELD_FROM:
+                self.tell_held(since, idle)
+
+    def tell_long_turn(self, where: str) -> None:
+        """The program's loop is busy, or stuck, in one turn: at which lines."""
+        line = {"monotonic": time.monotonic(), "call": "turn", "effect": "long", "what": where}
+        os.write(self.log, json.dumps(line).encode() + b"\n")
+
     def wall_clock_shift(self) -> float:
         """Seconds by which the wall clock is off just now."""
         age = time.monotonic() - self.begun
@@ -96,6 +123,7 @@
                 return number
             raise OSError(number, os.strerror(number))
         if rule.effect == "hold":
+            injector.slept += rule.seconds
             time.sleep(rule.seconds)
             return original(sock, *given, **named)
         return original(sock, *shortened(name, rule.most, given), **named)
@@ -137,9 +165,14 @@
         self.epoll = type(self).make(*given)
 
     def poll(self, *given: Any) -> Any:
+        self.injector.turn_ends()
+        timeout = max(0.0, given[0]) if given else math.inf
+        since = time.monotonic()
         events = self.epoll.poll(*given)
+        self.injector.turn_begins(since, timeout)
         rule = self.injector.rule_for("wait")
         if rule is not None and rule.effect == "hold":
+            self.injector.slept += rule.seconds
             time.sleep(rule.seconds)
         return events
 
@@ -160,6 +193,12 @@
     time.time_ns = lambda: wall_clock_ns() + round(injector.wall_clock_shift() * 1e9)
 
 
+def where(thread: threading.Thread) -> str:
+    """The innermost lines that a thread is at."""
+    frames = traceback.extract_stack(sys._current_frames()[thread.ident or 0])
+    return "; ".join(f"{Path(each.filename).name}:{each.lineno} {each.name}" for each in frames[-6:])
+
+
 def watch_for_holds(injector: Injector) -> None:
     """Tell when this process was held up by the machine, in a thread of its own: an injected hold is none."""
     while True:
@@ -168,6 +207,9 @@
         late = time.monotonic() - since - WATCH_EVERY
         if late >= MACHINE_HELD_FROM:
             injector.tell_held(since, late)
+        if since - injector.turn_since >= LONG_TURN:
+            injector.tell_long_turn(where(threading.main_thread()))
+            injector.turn_since = math.inf
 
 
 def main() -> None:
