--- a/gorsefork/lab/faults/play.py
+++ b/gorsefork/lab/faults/play.py
@@ -133,6 +133,7 @@
         door, process = self.doors[number], self.processes[number]
         door.port = door.port or free_port()
         process.config = self.config(number)
+        self.discovery.told_to(number, self.discovery.version)
         life = self.lives[number] = Life(number, time.monotonic())
         self.records.lives.append(life)
         await trio.to_thread.run_sync(process.start)
--- a/gorsefork/lab/faults/servers.py
+++ b/gorsefork/lab/faults/servers.py
@@ -227,6 +227,10 @@
         news = self.since(int(asked[1]), ingress) if asked is not None else self.whole(ingress)
         body = json.dumps(news).encode()
         await stream.send_all(f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        self.told_to(ingress, upto)
+
+    def told_to(self, ingress: int, upto: int) -> None:
+        """An ingress has all changes up to this version, from here or from the list that it starts with."""
         for at, _, told in self.changes:
             if at <= upto:
                 told.written_at.setdefault(ingress, time.monotonic())
