--- a/tests/test_transient_faults.py
+++ b/tests/test_transient_faults.py
@@ -103,6 +103,20 @@
 
         scenario("", then=then)
 
+    def test_a_connection_that_breaks_as_it_is_accepted_ends_alone(self) -> None:
+        async def then(world: World) -> None:
+            acceptor = world.ingresses[0].acceptors[0]
+            acceptor.cease()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            clients = [socket.create_connection(("127.0.0.1", acceptor.port)) for _ in range(2)]
+            with failing_once(socket.socket, "setsockopt", raising(errno.EINVAL)):
+                assert acceptor.accept_ready()
+            assert len(acceptor.connections) == 1
+            for client in clients:
+                client.close()
+
+        scenario("", then=then)
+
     def test_a_listener_that_only_ever_fails_does_not_hold_up_the_loop(self) -> None:
         async def then(world: World) -> None:
             acceptor = world.ingresses[0].acceptors[0]
