--- a/tests/test_fault_signals.py
+++ b/tests/test_fault_signals.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from test_held_up import SLACK, WAITS, connected, final_answer_after, ingress, look, silent_backend
+from test_held_up import SLACK, WAITS, connected, final_answer_after, look, running, silent_backend
 
 from gorsefork.lab.faults.plan import Plan
 
@@ -34,9 +34,7 @@
 def test_a_request_in_hand_is_answered_through_signals_in_a_row(
     signals: Sequence[signal.Signals], tmp_path: Path, silent_backend: socket.socket
 ) -> None:
-    program = ingress(tmp_path, silent_backend, Plan())
-    try:
-        program.start()
+    with running(tmp_path, silent_backend, Plan()) as program:
         assert program.process is not None
         with connected(program) as client:
             sent = time.monotonic()
@@ -55,8 +53,6 @@
             "gorsefork: takes no more connections",
             "gorsefork: drained; 0 calls given up",
         ]
-    finally:
-        program.end()
 
 
 @pytest.mark.parametrize("first", [HOUR, -HOUR])
@@ -64,14 +60,10 @@
     first: float, tmp_path: Path, silent_backend: socket.socket
 ) -> None:
     steps = tuple((0.1 * number, first * (-1) ** number) for number in range(200))
-    program = ingress(tmp_path, silent_backend, Plan(clock_steps=steps))
-    try:
-        program.start()
-        with connected(program) as client:
-            sent = time.monotonic()
-            client.sendall(look("stepped"))
-            client.settimeout(5)
-            took = final_answer_after(client, sent)
-            assert WAITS / 2 < took <= WAITS + SLACK
-    finally:
-        program.end()
+    plan = Plan(clock_steps=steps)
+    with running(tmp_path, silent_backend, plan) as program, connected(program) as client:
+        sent = time.monotonic()
+        client.sendall(look("stepped"))
+        client.settimeout(5)
+        took = final_answer_after(client, sent)
+        assert WAITS / 2 < took <= WAITS + SLACK
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -12,6 +12,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -65,9 +66,16 @@
         yield backend
 
 
-def ingress(folder: Path, backend: socket.socket, plan: Plan) -> ShimmedIngress:
+@contextmanager
+def running(folder: Path, backend: socket.socket, plan: Plan) -> Iterator[ShimmedIngress]:
+    """An ingress that is ready, and has ended by the end."""
     dial = f"127.0.0.1:{backend.getsockname()[1]}"
-    return ShimmedIngress(folder / "n0", config(dial), plan)
+    program = ShimmedIngress(folder / "n0", config(dial), plan)
+    try:
+        program.start()
+        yield program
+    finally:
+        program.end()
 
 
 def connected(ingress: ShimmedIngress) -> socket.socket:
@@ -95,26 +103,23 @@
     ) -> None:
         """Incident 10321: the request's time was counted from when it was read."""
         rule = Rule(call="sendmsg", effect="hold", seconds=HELD, nth=(2,))
-        program = ingress(tmp_path, silent_backend, Plan(rules=(rule,)))
-        try:
-            program.start()
-            with connected(program) as client, socket.create_connection(("127.0.0.1", program.port)) as other:
-                other.sendall(HEALTH)  # its answer is the one that is held up
-                program.wait_for_injection(1)
-                sent = time.monotonic()
-                client.sendall(look("held"))
-                client.settimeout(5)
-                assert final_answer_after(client, sent) <= WAITS  # a hold in a turn is known to the process
-        finally:
-            program.end()
+        with (
+            running(tmp_path, silent_backend, Plan(rules=(rule,))) as program,
+            connected(program) as client,
+            socket.create_connection(("127.0.0.1", program.port)) as other,
+        ):
+            other.sendall(HEALTH)  # its answer is the one that is held up
+            program.wait_for_injection(1)
+            sent = time.monotonic()
+            client.sendall(look("held"))
+            client.settimeout(5)
+            assert final_answer_after(client, sent) <= WAITS  # a hold in a turn is known to the process
 
     def test_a_request_that_comes_while_the_process_is_stopped_is_answered_in_its_time(
         self, tmp_path: Path, silent_backend: socket.socket
     ) -> None:
         """The same where the process waits for input and is not scheduled."""
-        program = ingress(tmp_path, silent_backend, Plan())
-        try:
-            program.start()
+        with running(tmp_path, silent_backend, Plan()) as program:
             assert program.process is not None
             with connected(program) as client:
                 program.process.send_signal(signal.SIGSTOP)
@@ -125,8 +130,6 @@
                 program.process.send_signal(signal.SIGCONT)
                 client.settimeout(5)
                 assert final_answer_after(client, sent) <= WAITS + SLACK
-        finally:
-            program.end()
 
 
 class TestAnswerWithin:
