--- a/review/common.py
+++ b/review/common.py
@@ -105,6 +105,7 @@
         self.ran: list[tuple[str, str, float]] = []  # trace id, box, units; as each answer was written
         self.began: list[tuple[str, str]] = []  # trace id, box; as each request came whole
         self.work: Callable[[str], float] = lambda trace: work
+        self.body: Callable[[str, str], bytes] = lambda trace, name: f"{trace} by {name}\n".encode()
         self.units = units
         self.addresses = {f"box-{n}": serve(self.handler(f"box-{n}")) for n in range(count)}
 
@@ -121,8 +122,7 @@
                 with boxes.lock:
                     boxes.began.append((trace, name))
                 time.sleep(boxes.work(trace))
-                text = f"{trace} by {name}\n".encode()
-                self.answer(200, text, {"X-Settled": f"{boxes.units:g}"})
+                self.answer(200, boxes.body(trace, name), {"X-Settled": f"{boxes.units:g}"})
                 with boxes.lock:
                     boxes.ran.append((trace, name, boxes.units))
 
