--- a/review/clients.py
+++ b/review/clients.py
@@ -1,4 +1,4 @@
-"""Usual clients of both fronts, each request on a connection of its own."""
+"""Usual clients of the platform's front, each request on a connection of its own."""
 
 from __future__ import annotations
 
@@ -79,10 +79,3 @@
     def lost(self) -> list[str]:
         """Whole requests on a connection that was taken, which got no answer."""
         return [trace for trace, _, status, _ in self.sent if status == 0]
-
-
-class TokenClients(Clients):
-    """Of the introspection front."""
-
-    def headers(self, trace: str) -> Mapping[str, str]:
-        return {"Authorization": "Bearer good", "X-Trace-Id": trace}
--- a/review/common.py
+++ b/review/common.py
@@ -98,15 +98,12 @@
 
 
 class Boxes:
-    """Tour boxes: each answers every whole request, tells its true units, and remembers what it ran."""
+    """Tour boxes: each runs every whole request, answers it, and says in the record what it ran."""
 
     def __init__(self, record: Record, count: int, work: float = 0.02, units: float = 1.0) -> None:
-        self.record, self.lock = record, threading.Lock()
-        self.ran: list[tuple[str, str, float]] = []  # trace id, box, units; as each answer was written
-        self.began: list[tuple[str, str]] = []  # trace id, box; as each request came whole
+        self.record, self.units = record, units
         self.work: Callable[[str], float] = lambda trace: work
         self.body: Callable[[str, str], bytes] = lambda trace, name: f"{trace} by {name}\n".encode()
-        self.units = units
         self.addresses = {f"box-{n}": serve(self.handler(f"box-{n}")) for n in range(count)}
 
     def handler(self, name: str) -> type[Handler]:
@@ -114,17 +111,14 @@
 
         class TourBox(Handler):
             def do_GET(self) -> None:
-                self.body()
-                trace = self.headers.get("X-Trace-Id", "")
+                size, trace = len(self.body()), self.headers.get("X-Trace-Id", "")
                 if not trace:
                     self.answer(404)
                     return
-                with boxes.lock:
-                    boxes.began.append((trace, name))
+                boxes.record(f"{name}: {trace} came whole, with {size} bytes of body")
                 time.sleep(boxes.work(trace))
                 self.answer(200, boxes.body(trace, name), {"X-Settled": f"{boxes.units:g}"})
-                with boxes.lock:
-                    boxes.ran.append((trace, name, boxes.units))
+                boxes.record(f"{name}: {trace} has run, and its answer was given")
 
             do_POST = do_GET
 
