--- a/review/common.py
+++ b/review/common.py
@@ -58,7 +58,22 @@
         self.wfile.flush()
 
     def body(self) -> bytes:
-        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        """The whole body; ``ConnectionResetError`` where the connection ends before that."""
+        if self.headers.get("Transfer-Encoding", "") != "chunked":
+            return self.whole(int(self.headers.get("Content-Length", 0)))
+        body = b""
+        while size := int(self.rfile.readline().strip() or b"-1", 16):
+            if size < 0:
+                raise ConnectionResetError("it ended in the middle of a body")
+            body += self.whole(size + 2)[:-2]
+        self.rfile.readline()
+        return body
+
+    def whole(self, size: int) -> bytes:
+        data = self.rfile.read(size)
+        if len(data) < size:
+            raise ConnectionResetError("it ended in the middle of a body")
+        return data
 
     def log_message(self, format: str, *args: Any) -> None:
         """The record has what matters."""
@@ -102,6 +117,7 @@
 
     def __init__(self, record: Record, count: int, work: float = 0.02, units: float = 1.0) -> None:
         self.record, self.units = record, units
+        self.ran: list[tuple[str, int]] = []  # trace id, bytes of body
         self.work: Callable[[str], float] = lambda trace: work
         self.body: Callable[[str, str], bytes] = lambda trace, name: f"{trace} by {name}\n".encode()
         self.addresses = {f"box-{n}": serve(self.handler(f"box-{n}")) for n in range(count)}
@@ -116,6 +132,7 @@
                     self.answer(404)
                     return
                 boxes.record(f"{name}: {trace} came whole, with {size} bytes of body")
+                boxes.ran.append((trace, size))
                 time.sleep(boxes.work(trace))
                 self.answer(200, boxes.body(trace, name), {"X-Settled": f"{boxes.units:g}"})
                 boxes.record(f"{name}: {trace} has run, and its answer was given")
