--- a/review/common.py
+++ b/review/common.py
@@ -120,6 +120,7 @@
         self.ran: list[tuple[str, int]] = []  # trace id, bytes of body
         self.work: Callable[[str], float] = lambda trace: work
         self.body: Callable[[str, str], bytes] = lambda trace, name: f"{trace} by {name}\n".encode()
+        self.closes: Callable[[str], bool] = lambda trace: False  # its connection behind this answer
         self.addresses = {f"box-{n}": serve(self.handler(f"box-{n}")) for n in range(count)}
 
     def handler(self, name: str) -> type[Handler]:
@@ -134,7 +135,10 @@
                 boxes.record(f"{name}: {trace} came whole, with {size} bytes of body")
                 boxes.ran.append((trace, size))
                 time.sleep(boxes.work(trace))
-                self.answer(200, boxes.body(trace, name), {"X-Settled": f"{boxes.units:g}"})
+                headers = {"X-Settled": f"{boxes.units:g}"}
+                if boxes.closes(trace):
+                    headers["Connection"] = "close"
+                self.answer(200, boxes.body(trace, name), headers)
                 boxes.record(f"{name}: {trace} has run, and its answer was given")
 
             do_POST = do_GET
