Metrics: why a connection was ended in the middle of a request or an answer

Three causes looked alike from outside: a client that takes nothing more of its answer, a backend that sends nothing more, and a body whose rest does not come.

--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -152,7 +152,15 @@
         )
         most = self.max_clients(sockets)
         self.acceptors = [
-            Acceptor(config.listen, front, clock, most, int(sockets * IDLE_CLIENT_SHARE), config.listen_fd)
+            Acceptor(
+                config.listen,
+                front,
+                clock,
+                most,
+                int(sockets * IDLE_CLIENT_SHARE),
+                config.listen_fd,
+                self.decision_actor.metrics.count_break,
+            )
         ]
         if introspection is not None:
             self.acceptors.append(self.make_introspection_acceptor(introspection, settings, sockets))
@@ -219,7 +227,13 @@
             self.decision_actor.client_gone,
             self.ready.is_set,
         )
-        acceptor = Acceptor(given.listen, front, self.clock, int(sockets * INTROSPECTION_SHARE))
+        acceptor = Acceptor(
+            given.listen,
+            front,
+            self.clock,
+            int(sockets * INTROSPECTION_SHARE),
+            count_break=self.decision_actor.metrics.count_break,
+        )
         front.start = acceptor.start
         return acceptor
 
--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -15,7 +15,7 @@
 from gorsefork.memory.body_stream import BodyStream
 
 if TYPE_CHECKING:
-    from gorsefork.memory.metrics import EndKind, Metrics
+    from gorsefork.memory.metrics import BreakReason, EndKind, Metrics
 
 NEVER_RAN: frozenset[Status] = frozenset(("full", "connect_failed", "moot"))
 
@@ -164,6 +164,10 @@
         if self.metrics is not None:
             self.metrics.ended[kind][self.class_index] += 1
 
+    def count_break(self, reason: BreakReason) -> None:
+        if self.metrics is not None:
+            self.metrics.count_break(reason)
+
     def abandon(self) -> bool:
         """Finish without an answer because the client has gone; return whether the call was still open."""
         was_open, self.finished = not self.finished, True
--- a/gorsefork/memory/metrics.py
+++ b/gorsefork/memory/metrics.py
@@ -6,6 +6,10 @@
 from typing import Literal
 
 EndKind = Literal["fulfilled", "throttled", "faulted", "gone"]
+# Why a connection was ended in the middle of a request or an answer:
+# the client took nothing more of its answer; the backend sent, or took, nothing more; the body was broken off
+# before a backend had all of it
+BreakReason = Literal["stalled_client", "stalled_backend", "incomplete_body"]
 METRIC_PREFIX = "edge_proxy"
 
 
@@ -22,6 +26,14 @@
         self.ended: dict[EndKind, list[int]] = {
             kind: [0] * len(classes) for kind in ("fulfilled", "throttled", "faulted", "gone")
         }
+        self.broken_off: dict[BreakReason, int] = {
+            "stalled_client": 0,
+            "stalled_backend": 0,
+            "incomplete_body": 0,
+        }
+
+    def count_break(self, reason: BreakReason) -> None:
+        self.broken_off[reason] += 1
 
     def open_requests(self) -> int:
         """The number of requests that are accepted and have not ended."""
@@ -48,4 +60,5 @@
             f"{METRIC_PREFIX}.open_requests={self.open_requests()}",
             f"{METRIC_PREFIX}.registry_entries={entries}",
             f"{METRIC_PREFIX}.out_of_rotation={avoided}",
+            *(f"{METRIC_PREFIX}.broken_off.{reason}={count}" for reason, count in self.broken_off.items()),
         ]
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -11,6 +11,7 @@
 
 from gorsefork.memory.arrival import ArrivalTime
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.metrics import BreakReason
 from gorsefork.wire.connection_admission import ConnectionAdmission
 from gorsefork.wire.http1.connection import ClientConnection
 from gorsefork.wire.http1.exchange import Exchange, Front
@@ -51,9 +52,10 @@
         most: int,
         most_idle: int = 0,
         inherited: int | None = None,
+        count_break: Callable[[BreakReason], None] = lambda reason: None,
     ) -> None:
         super().__init__(clock, most, most_idle or most)
-        self.front = front
+        self.front, self.count_break = front, count_break
         self.closing = False
         self.nursery: trio.Nursery | None = None
         self.accepting, self.accept_scope = trio.Event(), trio.CancelScope()
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -28,6 +28,10 @@
 IDLE_SHARE_OF_KEEPALIVE = 0.75  # of the keep-alive time that a connection may stand idle here
 
 
+class BackendStalled(Exception):
+    """The backend keeps its connection and sends nothing more of an answer that is passed on."""
+
+
 class BackendConnection:
     """One connection to a backend; it carries one delegation at a time."""
 
@@ -55,14 +59,20 @@
             await self.send(request, *body, *end)
             if call.body_stream is not None:
                 await self.upload(call.body_stream)
-        except (OSError, BodyAborted):
+        except BodyAborted:
+            call.count_break("incomplete_body")
+            return AttemptResult("connect_failed")
+        except OSError:
             return AttemptResult("connect_failed")
         delegation.mark_sent()
         if call.body_stream is not None:
             delegation.sent_at = self.pool.clock.now  # what came before is the client's time
         try:
             found = await self.read_answer()
-        except (OSError, h11.RemoteProtocolError, trio.TooSlowError):
+        except trio.TooSlowError:
+            call.count_break("stalled_backend")
+            return AttemptResult("reset")
+        except (OSError, h11.RemoteProtocolError):
             return AttemptResult("reset")
         return found if isinstance(found, AttemptResult) else await self.stream_answer(delegation, *found)
 
@@ -134,6 +144,8 @@
         try:
             await sink.write_chunk(begun.pop())
             whole = await self.copy_body(sink, size)
+        except BackendStalled:
+            delegation.call.count_break("stalled_backend")
         except (OSError, h11.RemoteProtocolError, trio.TooSlowError, trio.ClosedResourceError):
             pass  # the server's end, or the client's: the client can tell
         finally:
@@ -146,8 +158,10 @@
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
-                with trio.fail_after(STREAMED_CHUNK_TIMEOUT_S):
+                with trio.move_on_after(STREAMED_CHUNK_TIMEOUT_S) as scope:
                     self.http.receive_data(await self.stream.receive(self.pool.chunk_size()))
+                if scope.cancelled_caught:
+                    raise BackendStalled
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > MAX_BODY_BYTES:
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -18,6 +18,7 @@
 from gorsefork.memory.body_stream import MAX_BUFFERED_BYTES, BodyStream
 from gorsefork.memory.call import Answer, DeniedAnswer, StreamedAnswer
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.metrics import BreakReason
 from gorsefork.wire.http1.exchange import (
     MAX_BODY_BYTES,
     MAX_UPLOAD_US,
@@ -59,6 +60,10 @@
     idle: OrderedDict[ClientConnection, int]
     receiving_heads: OrderedDict[ClientConnection, None]
 
+    def count_break(self, reason: BreakReason) -> None:
+        """A connection was ended in the middle of a request or an answer."""
+        ...
+
     def start(self, task: Callable[[], Awaitable[None]]) -> None:
         """Run a task beside the connections."""
         ...
@@ -358,7 +363,9 @@
         try:
             with trio.fail_after(FLUSH_TIMEOUT_S):
                 await self.stream.send([*head, *parts])
-        except BaseException:
+        except BaseException as error:
+            if isinstance(error, trio.TooSlowError):
+                self.acceptor.count_break("stalled_client")
             self.stream.close()  # what was sent has no good end any more
             raise
 
@@ -397,7 +404,10 @@
                 while self.unsent:
                     parts, self.unsent = self.unsent, []
                     await self.stream.send(parts)
-        except (OSError, trio.ClosedResourceError, trio.TooSlowError):
+        except (OSError, trio.ClosedResourceError):
+            self.stream.close()
+        except trio.TooSlowError:
+            self.acceptor.count_break("stalled_client")
             self.stream.close()
         self.flushing = False
         if self.is_last and not self.stream.closed:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -267,6 +267,7 @@
                 await world.play("c2 send GET /look X-Trace-Id=c2\nbox expect GET /look\nbox send 200 | two")
                 await world.play("c2 expect 200 | two")
                 await gone(acceptor, connection)
+            await world.play("o1 send vars\no1 expect +OK broken_off.stalled_client=1")
             reset(world.clients.pop("c1"))
 
         scenario("", then=then)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -58,6 +58,17 @@
 
 
 class MetricCounts(unittest.TestCase):
+    def test_an_answer_that_stops_in_the_middle_is_counted_and_asked_for_again(self) -> None:
+        scenario("""
+            c1 send GET /look
+            box expect GET /look
+            box send raw HTTP/1.1 200 X\\nContent-Length: 9\\n\\nhalf
+            box expect GET /look
+            box send 200 | whole
+            c1 expect 200 | whole
+            o1 send vars
+            o1 expect +OK broken_off.stalled_backend=1 broken_off.stalled_client=0""")
+
     def test_each_end_is_counted_once_and_the_counts_add_up(self) -> None:
         async def then(world: World) -> None:
             metrics = world.ingresses[0].decision_actor.metrics
