--- a/gorsefork/memory/body_stream.py
+++ b/gorsefork/memory/body_stream.py
@@ -13,7 +13,11 @@
 
 
 class BodyAborted(Exception):
-    """The client disconnected in the middle of its body, or the body was malformed."""
+    """The body must not be completed.
+
+    The client disconnected in the middle of it, it was malformed, or its call was answered before all of it
+    was read.
+    """
 
 
 class BodyStream:
@@ -22,6 +26,11 @@
     The writer waits for space before it reads more from the client; the reader takes all buffered chunks.
     Once the reader has begun, no other attempt can send the body: ``reading_begun`` is then true. ``length``
     is the whole size in bytes, or None where the client did not announce it; ``first`` is the first chunk.
+
+    The reader is told that the body is complete only if it has taken every byte of it before anything ended
+    the body early. ``end``, ``abort`` and ``discard`` may all be called between the event that wakes the
+    reader and the moment it runs; the first of ``abort`` and ``discard`` wins over an ``end`` that the reader
+    has not been told of.
     """
 
     open_streams: ClassVar[WeakSet[BodyStream]] = WeakSet()  # streams that may still buffer chunks
@@ -55,36 +64,51 @@
             await self.space_freed.wait()
 
     def end(self) -> None:
-        """Mark the body as complete."""
+        """Mark the last byte as put."""
         self.ended = True
         self.data_arrived.set()
 
     def abort(self) -> None:
-        """Mark the body as broken off: the reader gets ``BodyAborted`` after the buffered chunks."""
+        """Break the body off: unless the reader has the whole body already, it gets ``BodyAborted``."""
         self.aborted = True
         self.open_streams.discard(self)
         self.data_arrived.set()
 
     def discard(self) -> None:
-        """Drop the buffered chunks and all later ones: the rest of the body is not needed."""
+        """Drop the buffered chunks and all later ones, as the call has its answer.
+
+        A reader that does not have the whole body by now gets ``BodyAborted``: without the dropped chunks it
+        would complete a body that nobody sent.
+        """
         self.discarded, self.chunks, self.buffered_bytes = True, [], 0
         self.open_streams.discard(self)
         self.space_freed.set()
+        self.data_arrived.set()
+
+    def is_broken_off(self) -> bool:
+        """Whether the rest of the body does not come, or is not wanted any more."""
+        return self.aborted or self.discarded
 
     async def read_available(self) -> list[bytes]:
         """Return all buffered chunks, waiting for at least one; an empty list means the end of the body.
 
-        Raises ``BodyAborted`` if the body was broken off. A cancelled call consumes nothing. The timeouts of
-        the client's connection bound the wait.
+        Raises ``BodyAborted`` if the body was broken off or discarded. A cancelled call takes nothing, even
+        if chunks arrived in the same turn. The timeouts of the client's connection bound the wait.
         """
         self.reading_begun = True
-        while not self.chunks:
-            if self.aborted:
+        while True:
+            await trio.lowlevel.checkpoint_if_cancelled()
+            if self.is_broken_off():
                 raise BodyAborted
+            if self.chunks:
+                return self.take_chunks()
             if self.ended:
                 return []
             self.data_arrived = trio.Event()
             await self.data_arrived.wait()
+
+    def take_chunks(self) -> list[bytes]:
+        """Remove and return the buffered chunks, which frees their space."""
         chunks, self.chunks, self.buffered_bytes = self.chunks, [], 0
         if self.ended:
             self.open_streams.discard(self)
--- a/gorsefork/memory/decision_actor.py
+++ b/gorsefork/memory/decision_actor.py
@@ -167,8 +167,10 @@
         """Begin a good answer that is too large to buffer; return whether the client gets this answer.
 
         To the decision engine the attempt has then succeeded, since only bytes remain to be forwarded. From
-        here on the call may not be sent again.
+        here on the call may not be sent again. An attempt that was cancelled in the turn in which its answer
+        arrived begins none: it could not finish it.
         """
+        await trio.lowlevel.checkpoint_if_cancelled()
         call = attempt.call
         if call.finished or call.answer_accepted:
             return False
@@ -184,6 +186,7 @@
                 call, round((billed or call.units) * MICRO_UNITS_PER_UNIT), on_recorded
             )
             await recorded.wait()
+            await trio.lowlevel.checkpoint_if_cancelled()
             if not outcomes[0]:
                 call.finish(FailedAnswer())
         is_first = call.finish(answer)
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -59,9 +59,8 @@
             await self.send(request, *body, *end)
             if call.body_stream is not None:
                 await self.upload(call.body_stream)
-        except BodyAborted:
-            call.count_break("incomplete_body")
-            return AttemptResult("connect_failed")
+        except BodyAborted:  # the client's doing: it says nothing of this backend
+            return AttemptResult("moot")
         except OSError:
             return AttemptResult("connect_failed")
         delegation.mark_sent()
@@ -82,7 +81,8 @@
         )
 
     async def upload(self, flow: BodyStream) -> None:
-        """A body as it comes: a little of it is held at a time."""
+        """A body as it comes: a little of it is held at a time. Raises ``BodyAborted`` if it is not to be
+        completed; the request then has no end, so that the backend does not run it."""
         while pieces := await flow.read_available():
             await self.send(*map(h11.Data, pieces))
         await self.send(h11.EndOfMessage())
@@ -233,7 +233,8 @@
     async def run(self) -> None:
         clock = self.pool.clock
         async with trio.open_nursery() as nursery:
-            while not self.retired:
+            # One that is retired before it first ran has attempts all the same, and each is owed its end.
+            while not self.retired or self.mailbox.messages:
                 # A connection that falls idle while the actor waits retires no sooner than this either.
                 since = self.idle[0].idle_since if self.idle else clock.now
                 await self.mailbox.wait(clock.trio_deadline(since + self.pool.idle_for))
@@ -276,6 +277,9 @@
             ending = AttemptResult("moot" if delegation.cancelled else "connect_failed")
         elif ending is None:
             ending = AttemptResult("cancelled" if delegation.cancelled else "timeout")
+        body = delegation.call.body_stream
+        if body is not None and body.is_broken_off() and not delegation.fully_sent:
+            delegation.call.count_break("incomplete_body")
         if not ending.already_reported:  # else its outcome was told when it began
             self.pool.on_attempt_ended(delegation, ending)
 
@@ -294,9 +298,11 @@
             if call.permit is not None and not await call.permit.renew(delegation):
                 return AttemptResult("moot")
             # The connect took its time, or this process was held up: the backend may drain by now, the call
-            # may have had its answer, its client may have left, the window for its repeats may be over.
+            # may have had its answer, its client may have left, the window for its repeats may be over. Nor
+            # is a task cancelled that was woken already when its attempt was called off.
             now = monotonic_us()
-            over = call.finished or call.client_has_left() or now >= delegation.start_before
+            over = delegation.cancelled or call.finished or call.client_has_left()
+            over = over or now >= delegation.start_before
             if over or not self.pool.registry.accepts_attempts(self.backend.name):
                 return AttemptResult("moot")
             left = call.answer_time if call.body_stream is not None else delegation.deadline - now
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -140,8 +140,8 @@
         if exchange is None:
             self.close_if_idle()
             self.is_last |= self.flushing  # once that is done it ends
-        elif not exchange.answered:
-            self.reject(408)
+        elif not exchange.answered and self.http.their_state is h11.SEND_BODY:
+            self.reject(408)  # else its last byte came in this very moment, and it is in hand
         return not self.stream.closed
 
     def end_reading(self) -> None:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -214,7 +214,7 @@
                 c1 expect 408
                 c1 wait
                 o1 send vars
-                o1 expect +OK relayed.buy=0 open_requests=0""")
+                o1 expect +OK relayed.buy=0 open_requests=0 broken_off.incomplete_body=1""")
 
         with (
             mock.patch("gorsefork.wire.http1.connection.REQUEST_TIMEOUT_S", 0.2),
