--- a/gorsefork/wire/connection_admission.py
+++ b/gorsefork/wire/connection_admission.py
@@ -29,7 +29,9 @@
     def __init__(self, clock: Clock, most: int, most_idle: int) -> None:
         self.clock, self.max_connections, self.max_idle = clock, most, most_idle
         self.connections: set[ClientConnection] = set()
-        self.idle: OrderedDict[ClientConnection, int] = OrderedDict()  # since when; longest first
+        self.idle: OrderedDict[ClientConnection, int] = (
+            OrderedDict()
+        )  # owed nothing, since when; longest first
         # begun; the latest byte last
         self.receiving_heads: OrderedDict[ClientConnection, None] = OrderedDict()
         self.closing_since: OrderedDict[ClientConnection, int] = OrderedDict()  # told so: since when
@@ -46,10 +48,7 @@
                 if since + MAX_IDLE_US > self.clock.now:
                     break
                 del self.idle[connection]
-                if connection.flushing:  # its client has not read the last answer yet
-                    self.idle[connection] = self.clock.now
-                else:
-                    connection.close_if_idle()
+                connection.close_if_idle()
 
     def set_draining(self, on: bool) -> None:
         """Clients are to go elsewhere, or may stay again. Busy ones are told with their answers."""
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -5,8 +5,6 @@
 import contextlib
 import errno
 import math
-import socket
-import struct
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -19,6 +17,7 @@
 from gorsefork.memory.call import Answer, DeniedAnswer, StreamedAnswer
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.metrics import BreakReason
+from gorsefork.wire.http1.connection_writer import ConnectionWriter
 from gorsefork.wire.http1.exchange import (
     MAX_BODY_BYTES,
     MAX_UPLOAD_US,
@@ -38,7 +37,6 @@
 REQUEST_TIMEOUT_S = 2.5  # s from the first byte of a request to its last, or to the end of its head
 BODY_CHUNK_TIMEOUT_S = 1.5  # s between two pieces of a body, beyond that
 ERROR_PAUSE_S = 0.25  # s until a client that was answered with an error is read on
-FLUSH_TIMEOUT_S = 10.0  # s that a client may take to read an answer, or a piece of a long one
 LINGER_S = 1.0  # s that a client has to read its last answer and close
 REFUSED_BODY_LINGER_S = 3.0  # the same where it still sends a body
 MAX_FINAL_READS = 1024  # of a connection that is closed: its client may write on and on
@@ -84,6 +82,9 @@
 class ClientConnection:
     """Reads in its own task. Answers are written at once from wherever they come, with one gathered write.
 
+    A request is begun only once the answer before it has left: a client that reads slowly is owed one answer
+    at a time, however many requests it sends ahead.
+
     ``came_at``: the time before which it had not come, in microseconds.
     """
 
@@ -92,8 +93,8 @@
         self.arrival, self.bytes_arrived_at = ArrivalTime(acceptor.clock, came_at), came_at
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.exchange: Exchange | None = None
-        self.unsent: list[memoryview] = []
-        self.flushing = self.advancing = False
+        self.writer = ConnectionWriter(stream, acceptor.start, self.on_flushed, self.on_stalled)
+        self.advancing = False
         self.read_scope = trio.CancelScope()
         self.is_last = False  # nothing more is read from this client
         self.served = False  # it has had an answer
@@ -103,6 +104,11 @@
         self.unsent_head: list[bytes] = []  # of a long answer, until its first piece goes with it
         self.streaming_answer = self.close_after_answer = False  # a long answer is on its way; it is the last
 
+    @property
+    def flushing(self) -> bool:
+        """Whether a part of what was answered has not left yet."""
+        return self.writer.flushing
+
     async def run(self) -> None:
         """Until its client ends, or the time that it has; each of those times has a scope of its own."""
         while True:
@@ -118,6 +124,7 @@
             if self.feed(data):
                 break
             await self.wait_for_body_space()
+            await self.wait_for_input_space()
             while self.paused:
                 # Guards against a client that asks the same again as soon as it is turned away:
                 # at full speed a few of those would take all of this ingress's time.
@@ -159,7 +166,7 @@
         if self.is_last:
             self.discarded += len(data)
             return self.discarded > (MAX_REFUSED_BODY_BYTES if self.refused else MAX_DISCARDED_BYTES)
-        if self.exchange is None and (self.read_scope.deadline == math.inf or self in self.acceptor.idle):
+        if self.is_expecting_head() and (self.read_scope.deadline == math.inf or self in self.acceptor.idle):
             within = LAST_HEADS_TIMEOUT_S if self.acceptor.closing else REQUEST_TIMEOUT_S
             self.read_scope.deadline = trio.current_time() + within  # lifted once the request is whole
         self.acceptor.head_received(self)
@@ -169,10 +176,22 @@
             self.read_scope.deadline = max(
                 self.read_scope.deadline, trio.current_time() + BODY_CHUNK_TIMEOUT_S
             )
-        return (
-            self.exchange is not None
-            and len(self.http.trailing_data[0]) > MAX_BUFFERED_BYTES + MAX_HEAD_BYTES
-        )
+        return self.exchange is not None and not self.exchange.answered and self.is_input_full()
+
+    def is_expecting_head(self) -> bool:
+        """Whether what comes now belongs to a request that may begin."""
+        return self.exchange is None and not self.flushing
+
+    def is_input_full(self) -> bool:
+        """Whether the client has sent as much ahead as is held for it."""
+        return len(self.http.trailing_data[0]) > MAX_BUFFERED_BYTES + MAX_HEAD_BYTES
+
+    async def wait_for_input_space(self) -> None:
+        """Read no more from a client that sends ahead while it has an answer to read."""
+        while (self.flushing or self.streaming_answer) and self.is_input_full():
+            if self.stream.peer_has_closed():
+                raise ConnectionResetError(errno.ECONNRESET, "the client has left")
+            await trio.sleep(DISCONNECT_CHECK_INTERVAL_S)
 
     async def wait_for_body_space(self) -> None:
         """Read on from the client once its body can be passed on; it is not to blame for that wait."""
@@ -210,7 +229,7 @@
             self.advancing = False
 
     def process_events(self) -> None:
-        while not self.is_last and not self.paused:
+        while not self.is_last and not self.paused and not self.holds_back_requests():
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
@@ -256,6 +275,10 @@
             else:  # paused behind the request in hand, or the client has closed
                 return
 
+    def holds_back_requests(self) -> bool:
+        """Whether the next request waits for the client to take the answer before it."""
+        return self.exchange is None and self.flushing
+
     def close_if_client_left(self) -> bool:
         """Whether the client of a request that is about to begin has left; so this connection ends. Guards
         against one that sent much and went: its requests would go on to servers before its end is read."""
@@ -324,7 +347,7 @@
         self.after_answer(last)
 
     def after_answer(self, last: bool) -> None:
-        """On to the next request, or to the end of this connection."""
+        """On to the next request, or to the end of this connection, once the answer has left."""
         self.exchange = None
         if self.stream.closed:  # the write found it broken: what waits unread behind it has nobody to answer
             self.is_last = True
@@ -332,15 +355,32 @@
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not last:
             self.http.start_next_cycle()
             self.served = True
-            self.acceptor.idle[self] = self.acceptor.clock.now
-            if self.http.trailing_data[0]:
-                self.acceptor.head_received(self)
-                self.read_scope.deadline = trio.current_time() + REQUEST_TIMEOUT_S
-                self.advance()
         else:
             self.is_last = True
-            if not self.flushing:
-                self.linger()
+        if not self.flushing:
+            self.answer_has_left()
+
+    def answer_has_left(self) -> None:
+        """Nothing is owed to this client: its next request may begin, or it may close."""
+        if self.is_last:
+            self.linger()
+            return
+        self.acceptor.idle[self] = self.acceptor.clock.now
+        if self.http.trailing_data[0]:
+            self.acceptor.head_received(self)
+            self.read_scope.deadline = trio.current_time() + REQUEST_TIMEOUT_S
+            self.advance()
+
+    def on_flushed(self) -> None:
+        """A client that reads slowly has taken what the socket did not take at once."""
+        if self.stream.closed or self.exchange is not None:
+            return
+        self.answer_has_left()
+        if self.acceptor.closing and self not in self.acceptor.receiving_heads:
+            self.close_if_idle()
+
+    def on_stalled(self) -> None:
+        self.acceptor.count_break("stalled_client")
 
     def begin_streamed_answer(self, answer: StreamedAnswer, last: bool) -> None:
         """The head; it leaves with the first piece. What follows comes from the delegation's own task."""
@@ -355,65 +395,29 @@
             self.http.send_with_data_passthrough(h11.Response(status_code=200, headers=headers)) or []
         )
         self.streaming_answer, self.close_after_answer = True, last
+        self.writer.reset_on_failure = answer.length is None
         answer.sink = self
 
     async def write_chunk(self, piece: bytes | bytearray) -> None:
         parts = self.http.send_with_data_passthrough(h11.Data(piece)) or []  # type: ignore[arg-type]
         head, self.unsent_head = self.unsent_head, []
-        try:
-            with trio.fail_after(FLUSH_TIMEOUT_S):
-                await self.stream.send([*head, *parts])
-        except BaseException as error:
-            if isinstance(error, trio.TooSlowError):
-                self.acceptor.count_break("stalled_client")
-            self.stream.close()  # what was sent has no good end any more
-            raise
+        await self.writer.send([*head, *parts])
 
     def end(self, whole: bool) -> None:
-        self.streaming_answer = False
+        self.streaming_answer = self.writer.reset_on_failure = False
         if self.stream.closed:
             return
         if not whole:
             # Guards against an answer that looks whole where only the connection's end says so.
-            self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self.stream.close()
+            self.stream.abort()
             return
         self.write(h11.EndOfMessage())
         self.after_answer(self.close_after_answer or self.acceptor.closing)
 
     def write(self, *events: h11.Event) -> None:
-        parts = [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
-        if self.stream.closed:
-            return
-        if self.flushing:
-            self.unsent += map(memoryview, parts)
-            return
-        try:
-            self.unsent = self.stream.write_now(parts)
-        except OSError:
-            self.stream.close()  # the reader sees it and ends
-            return
-        if self.unsent:
-            self.flushing = True
-            self.acceptor.start(self.flush)
-
-    async def flush(self) -> None:
-        """The rest of an answer, for a client that reads slowly; what is answered meanwhile follows it."""
-        try:
-            with trio.fail_after(FLUSH_TIMEOUT_S):
-                while self.unsent:
-                    parts, self.unsent = self.unsent, []
-                    await self.stream.send(parts)
-        except (OSError, trio.ClosedResourceError):
-            self.stream.close()
-        except trio.TooSlowError:
-            self.acceptor.count_break("stalled_client")
-            self.stream.close()
-        self.flushing = False
-        if self.is_last and not self.stream.closed:
-            self.linger()
-        elif self.acceptor.closing and self not in self.acceptor.receiving_heads:
-            self.close_if_idle()
+        self.writer.write(
+            [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
+        )
 
     def linger(self) -> None:
         """Guards against a reset that would overtake the answer: the client is to close first."""
--- a/gorsefork/wire/stream.py
+++ b/gorsefork/wire/stream.py
@@ -7,12 +7,14 @@
 import os
 import select
 import socket
+import struct
 import time
 from collections.abc import Sequence
 
 import trio
 
 READ_SIZE = 65536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
 LOCAL_RETRY_PAUSE_S = 0.005  # s until a connection is tried again that failed for a fault of this machine
 # s between tries to make a listener's socket; for all of them
 START_RETRY_PAUSE_S, START_TIMEOUT_S = 0.01, 2.0
@@ -112,6 +114,12 @@
         except OSError:
             self.close()
 
+    def abort(self) -> None:
+        """Close with a reset, so that the other side can tell that what it got has no end."""
+        if not self.closed:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.close()
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -158,7 +158,7 @@
                 connection = next(
                     c for c in world.ingresses[0].acceptors[0].connections if c.streaming_answer
                 )
-                self.assertLess(sum(map(len, connection.unsent)), 1 << 17)
+                self.assertLess(sum(map(len, connection.writer.unsent)), 1 << 17)
                 await world.play("c1 close\nbox wait idle")
                 nursery.cancel_scope.cancel()
 
