--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -50,7 +50,8 @@
 # it is longer) and 0.7 s more.
 MAX_DEADLINE_COUNTED_S, FINISH_MARGIN_S = 3.0, 0.3
 LAST_WRITES_S = 0.1  # s for answers to leave
-MAX_STREAMING_S = 60.0  # s after SIGTERM for long answers to leave, if nobody ends this process sooner
+# s after SIGTERM for long answers to leave, if nobody ends this process sooner: 32 MB take 512 s at 64 kB/s
+MAX_STREAMING_S = 600.0
 DEPLOY = Path(__file__).parents[2] / "deploy"
 OPERATOR_FILE, INTROSPECTION_FILE = DEPLOY / "operator.toml", DEPLOY / "introspection.toml"
 CHECK_INTERVAL_S = 0.02  # s between looks whether all have left
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -14,11 +14,12 @@
 from gorsefork.memory.clock import SECOND, Clock, monotonic_us
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.registry import RegisteredBackend, Registry
-from gorsefork.wire.stream import LOCAL_RETRY_PAUSE_S, LocalConnectError, Stream, open_connection
+from gorsefork.wire.stream import LOCAL_RETRY_PAUSE_S, LocalConnectError, PeerStalled, Stream, open_connection
 
 MAX_BODY_BYTES = 33 << 20  # bytes of an answer; a longer one is spoilt
 MAX_WAITING_ATTEMPTS = 512  # orders that one backend's actor may have unread
 CHUNK_TIMEOUT_S = 0.25  # s between two parts of one answer
+UPLOAD_STALL_TIMEOUT_S = 10.0  # s that a backend may take nothing of a body that is passed on
 STREAMED_CHUNK_TIMEOUT_S = 10.0  # s between two parts of one that is passed on already: its end is owed
 # bytes that all answers passed on may hold in pieces; a few times that with copies
 MAX_STREAMED_BYTES_HELD = 4 << 20
@@ -61,6 +62,9 @@
                 await self.upload(call.body_stream)
         except BodyAborted:  # the client's doing: it says nothing of this backend
             return AttemptResult("moot")
+        except PeerStalled:
+            call.count_break("stalled_backend")
+            return AttemptResult("connect_failed")
         except OSError:
             return AttemptResult("connect_failed")
         delegation.mark_sent()
@@ -77,7 +81,8 @@
 
     async def send(self, *events: h11.Event) -> None:
         await self.stream.send(
-            [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
+            [part for event in events for part in self.http.send_with_data_passthrough(event) or ()],
+            UPLOAD_STALL_TIMEOUT_S,
         )
 
     async def upload(self, flow: BodyStream) -> None:
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -17,7 +17,7 @@
 from gorsefork.memory.call import Answer, DeniedAnswer, StreamedAnswer
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.metrics import BreakReason
-from gorsefork.wire.http1.connection_writer import ConnectionWriter
+from gorsefork.wire.http1.connection_writer import CLIENT_STALL_TIMEOUT_S, ConnectionWriter
 from gorsefork.wire.http1.exchange import (
     MAX_BODY_BYTES,
     MAX_UPLOAD_US,
@@ -37,8 +37,9 @@
 REQUEST_TIMEOUT_S = 2.5  # s from the first byte of a request to its last, or to the end of its head
 BODY_CHUNK_TIMEOUT_S = 1.5  # s between two pieces of a body, beyond that
 ERROR_PAUSE_S = 0.25  # s until a client that was answered with an error is read on
-LINGER_S = 1.0  # s that a client has to read its last answer and close
-REFUSED_BODY_LINGER_S = 3.0  # the same where it still sends a body
+LINGER_S = 1.0  # s that a client has to close once it has its last answer
+REFUSED_BODY_LINGER_S = 3.0  # the same for one that was answered before the end of its body
+MAX_LINGER_S = MAX_UPLOAD_US / 1e6  # the same in all, where it is slow to take the one or to send the other
 MAX_FINAL_READS = 1024  # of a connection that is closed: its client may write on and on
 LAST_HEADS_TIMEOUT_S = 0.5  # s after SIGTERM for the rest of heads that have begun
 
@@ -100,7 +101,8 @@
         self.served = False  # it has had an answer
         self.refused = False  # answered in the middle of a body
         self.paused = False  # it is not read on for a while
-        self.errors = self.discarded = 0
+        self.errors = self.discarded = self.discarded_at_last_check = 0
+        self.linger_until = math.inf  # trio's clock
         self.unsent_head: list[bytes] = []  # of a long answer, until its first piece goes with it
         self.streaming_answer = self.close_after_answer = False  # a long answer is on its way; it is the last
 
@@ -141,8 +143,10 @@
         """This client's time is over, for a request that has begun or for its first byte. Whether its end is
         still to be waited for. Guards against a close over bytes that came in this moment: it is a reset, and
         would take the answer back."""
-        if self.is_last or self.stream.closed:
+        if self.stream.closed:
             return False
+        if self.is_last:
+            return self.continue_lingering()
         self.read_scope, exchange = trio.CancelScope(), self.exchange
         if exchange is None:
             self.close_if_idle()
@@ -425,6 +429,23 @@
         self.acceptor.closing_begun(self)
         within = REFUSED_BODY_LINGER_S if self.refused else LINGER_S
         self.read_scope.deadline = min(self.read_scope.deadline, trio.current_time() + within)
+        self.linger_until = trio.current_time() + MAX_LINGER_S
+        self.stream.stall_watch.begin()
+        self.discarded_at_last_check = self.discarded
+
+    def continue_lingering(self) -> bool:
+        """Whether the client is waited for once more: it still takes its last answer, or still sends the body
+        that was refused. Guards against a close that takes back what a slow reader has not got yet."""
+        still_sends = self.refused and self.discarded > self.discarded_at_last_check
+        still_reads = self.stream.unacknowledged_bytes() > 0 and not self.stream.stall_watch.has_stalled(
+            CLIENT_STALL_TIMEOUT_S
+        )
+        waits = (still_sends or still_reads) and trio.current_time() < self.linger_until
+        if not (waits or self.flushing):
+            return False
+        self.discarded_at_last_check = self.discarded
+        self.read_scope = trio.CancelScope(deadline=trio.current_time() + LINGER_S)
+        return True
 
     def close_if_idle(self) -> None:
         """What has arrived unread is read first: it may be a call that this ingress has taken by that.
--- a/gorsefork/wire/http1/connection_writer.py
+++ b/gorsefork/wire/http1/connection_writer.py
@@ -6,9 +6,9 @@
 
 import trio
 
-from gorsefork.wire.stream import Stream
+from gorsefork.wire.stream import PeerStalled, Stream
 
-FLUSH_TIMEOUT_S = 10.0  # s that a client may take to read what the socket did not take at once
+CLIENT_STALL_TIMEOUT_S = 10.0  # s that a client may take nothing of an answer that waits for it
 
 
 class ConnectionWriter:
@@ -77,11 +77,10 @@
     async def flush(self) -> None:
         """Send what is unsent, and what is handed over meanwhile, to a client that reads slowly."""
         try:
-            with trio.fail_after(FLUSH_TIMEOUT_S):
-                while self.unsent:
-                    parts, self.unsent = self.unsent, []
-                    await self.stream.send(parts)
-        except trio.TooSlowError:
+            while self.unsent:
+                parts, self.unsent = self.unsent, []
+                await self.stream.send(parts, CLIENT_STALL_TIMEOUT_S)
+        except PeerStalled:
             self.on_stalled()
             self.break_off()
         except (OSError, trio.ClosedResourceError):
--- a/gorsefork/wire/stream.py
+++ b/gorsefork/wire/stream.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import ipaddress
+import math
 import os
 import select
 import socket
 import struct
+import sys
+import termios
 import time
 from collections.abc import Sequence
 
 import trio
 
+from gorsefork.wire.stall_watch import StallWatch
+
 READ_SIZE = 65536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
+STALL_CHECK_INTERVAL_S = 1.0  # s between looks at the progress of a peer that is waited for
 LOCAL_RETRY_PAUSE_S = 0.005  # s until a connection is tried again that failed for a fault of this machine
 # s between tries to make a listener's socket; for all of them
 START_RETRY_PAUSE_S, START_TIMEOUT_S = 0.01, 2.0
@@ -38,6 +45,10 @@
     """This machine could not make a connection; it says nothing about the other side."""
 
 
+class PeerStalled(TimeoutError):
+    """The other side keeps its connection and takes nothing more of what is sent to it."""
+
+
 class Stream:
     """Owns its socket. ``write_now`` may be called outside any task; the rest belongs to one task."""
 
@@ -45,6 +56,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.closed = sock, False
+        self.stall_watch = StallWatch(sock)
 
     async def receive(self, most: int = READ_SIZE) -> bytes:
         """The next bytes, ``most`` of them; none at the end. ``OSError`` when the connection breaks."""
@@ -95,18 +107,49 @@
             sent = 0
         return unsent_buffers(buffers, sent)
 
-    async def send(self, buffers: Sequence[bytes | memoryview]) -> None:
+    async def send(self, buffers: Sequence[bytes | memoryview], stall_timeout: float = math.inf) -> None:
+        """Send all of ``buffers``, at the pace of the other side.
+
+        Raises ``OSError`` when the connection breaks, ``PeerStalled`` (one of them) once the other side has
+        taken nothing for ``stall_timeout`` seconds (``StallWatch``), and ``trio.ClosedResourceError`` when it
+        is closed here. A cancelled call has sent a part, and sends no more from then on.
+        """
         left: Sequence[bytes | memoryview] = self.write_now(buffers)
         while left:
-            if self.closed:
-                raise trio.ClosedResourceError
-            await trio.lowlevel.wait_writable(self.sock)
+            await self.wait_writable(stall_timeout)
             try:
                 sent = self.sock.sendmsg(left)
             except BlockingIOError:
                 continue
             left = unsent_buffers(left, sent)
 
+    async def wait_writable(self, stall_timeout: float) -> None:
+        """Wait until the socket takes bytes again; the errors of ``send``."""
+        self.stall_watch.begin()
+        while True:
+            if self.closed:
+                raise trio.ClosedResourceError
+            with trio.move_on_after(min(stall_timeout, STALL_CHECK_INTERVAL_S)) as scope:
+                await trio.lowlevel.wait_writable(self.sock)
+            if not scope.cancelled_caught:
+                # A task that was woken before it was cancelled is not stopped by that.
+                await trio.lowlevel.checkpoint_if_cancelled()
+                return
+            if not self.closed and self.stall_watch.has_stalled(stall_timeout):
+                raise PeerStalled(errno.ETIMEDOUT, "the other side takes nothing more")
+
+    def unacknowledged_bytes(self) -> int:
+        """The bytes written that the other side's system lacks, the end of writing counted as one.
+
+        0 where this system does not tell.
+        """
+        if self.closed:
+            return 0
+        try:
+            return int.from_bytes(fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+        except OSError:
+            return 0
+
     def end_writing(self) -> None:
         """Say that no more comes; the other side may have gone already."""
         try:
