--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -87,7 +87,10 @@
 
     async def upload(self, flow: BodyStream) -> None:
         """A body as it comes: a little of it is held at a time. Raises ``BodyAborted`` if it is not to be
-        completed; the request then has no end, so that the backend does not run it."""
+        completed, or another attempt reads it; the request then has no end, so that the backend does not run
+        it."""
+        if flow.reading_begun:  # since this attempt began: its connection came up after the other's
+            raise BodyAborted
         while pieces := await flow.read_available():
             await self.send(*map(h11.Data, pieces))
         await self.send(h11.EndOfMessage())
--- a/tests/test_woken_tasks.py
+++ b/tests/test_woken_tasks.py
@@ -14,8 +14,9 @@
 import pytest
 import trio
 from scenario import DEFAULTS, Wire, World, scenario
-from test_crossings import HEAD, before, until
+from test_crossings import HEAD, Late, before, until
 
+from gorsefork.decisions import interface as i
 from gorsefork.memory.registry import RegisteredBackend, RegistryUpdate
 from gorsefork.wire.backends import BackendConnection
 
@@ -91,6 +92,32 @@
     scenario("", then=then)
 
 
+def test_only_the_attempt_that_reads_a_body_first_sends_it() -> None:
+    """Prevents two attempts that share out one body, begun while the first waits to connect (issue 48, 1)."""
+    late = Late()
+
+    async def then(world: World) -> None:
+        uploads: list[UploadedBody] = []
+        core = world.ingresses[0].decision_actor
+        head, rest = upload_pieces("Transfer-Encoding")
+        await world.play("c1 send GET /healthz\nc1 expect 200")
+        with mock.patch.object(world.servers["box"], "serve", record_upload(uploads)), late.patch():
+            await world.clients["c1"].stream.send_all(head)
+            await late.asked.wait()
+            (call,) = core.calls.values()
+            core.start_attempt(i.StartAttempt(call.id, "s-1"))
+            await until(lambda: len(uploads) == 2)
+            late.release.set()
+            await until(lambda: any(upload.data for upload in uploads))
+            await world.clients["c1"].stream.send_all(rest.removesuffix(BEYOND["Transfer-Encoding"]))
+            await world.play("c1 expect 200 | sold\nc1 wait")
+            for upload in uploads:
+                await upload.connection_ended.wait()
+        assert sorted(len(upload.data) for upload in uploads if upload.complete) == [SIZE]
+
+    scenario("", then=then)
+
+
 def test_a_request_that_is_whole_as_its_time_to_be_read_ends_is_served() -> None:
     """Prevents a 408 for a request in hand: its last byte and its time-out came in one turn (issue 47)."""
 
