A bad request among many sent ahead no longer holds up those behind it

Callers would see: a client that has been served sends over 80 KiB ahead, and a bad request among them gets its 404; nothing behind it is answered until the time for a head is over, 2.5 s. Cause, of: the wait for room comes before the pause after an error and does not heed it, and while paused no request is begun, so that no room comes. Change: a paused connection does not wait for room; it looks again once its pause is over.

Found by reading the change once more.

--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -133,6 +133,7 @@
                 await trio.sleep(ERROR_PAUSE_S)
                 self.paused = False
                 self.advance()
+                await self.wait_for_input_space()
 
     async def receive(self) -> bytes:
         """The next bytes; none at the end."""
@@ -200,7 +201,7 @@
         Guards against a close over what it sent: that is a reset, and would take back the answers that it has
         not read yet. A client that has had none is ended (``feed``).
         """
-        while self.has_been_answered() and not self.is_last and self.is_input_full():
+        while self.has_been_answered() and not (self.is_last or self.paused) and self.is_input_full():
             if self.stream.peer_has_closed():
                 raise ConnectionResetError(errno.ECONNRESET, "the client has left")
             await trio.sleep(DISCONNECT_CHECK_INTERVAL_S)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -154,6 +154,31 @@
     scenario("", then=then)
 
 
+def test_a_bad_request_among_many_that_were_sent_ahead_holds_up_none_behind_it() -> None:
+    """Prevents a wait for room that outlasts the pause after an error (issue 47, case 2)."""
+    traces = [f"usual-{number}" for number in range(40)]
+    padding = f"X-Padding: {'x' * 4000}"
+    bad = get("bad", padding).replace("GET /look", "GET /nothing")
+
+    async def then(world: World) -> None:
+        with mock.patch.object(world.servers["box"], "serve", answer_by_trace):
+            connection = await slow_client(world)
+            wire = world.clients["c1"]
+            async with trio.open_nursery() as nursery:
+                await wire.stream.send_all(get("long-0").encode())
+                await until(lambda: connection.flushing and connection.streaming_answer)
+                requests = bad + "".join(get(trace, padding) for trace in traces)
+                nursery.start_soon(wire.stream.send_all, requests.encode())
+                await until(connection.is_input_full)
+                await expect_answers(wire, ["long-0"])
+                await world.play("c1 expect 404")
+                await expect_answers(wire, traces)
+            await world.play("c1 close")
+
+    with mock.patch("gorsefork.wire.http1.connection.REQUEST_TIMEOUT_S", 60.0):
+        scenario("", then=then)
+
+
 @asynccontextmanager
 async def connected_streams(send_buffer: int) -> AsyncIterator[tuple[Stream, Stream]]:
     """A TCP connection on loopback whose receiver has a small buffer: the sender's side, the receiver's."""
