Simpler: one error for a backend that sends no more, one cancellation that breaks off

Since the writer raises no TooSlowError any more, that one says in stream_answer that the backend stalled; the type added for it goes. ConnectionWriter.send closes on a cancellation, the only error that reaches it there, where it caught all and raised them again.

--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -34,8 +34,8 @@
     async def write_chunk(self, chunk: bytes | bytearray) -> None:
         """Write as fast as the client reads.
 
-        Raises ``OSError``, ``trio.TooSlowError`` or ``trio.ClosedResourceError`` once the client no longer
-        reads. Cancelling a write aborts the answer.
+        Raises ``OSError`` or ``trio.ClosedResourceError`` once the client no longer reads. Cancelling a write
+        aborts the answer.
         """
         ...
 
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -29,10 +29,6 @@
 IDLE_SHARE_OF_KEEPALIVE = 0.75  # of the keep-alive time that a connection may stand idle here
 
 
-class BackendStalled(Exception):
-    """The backend keeps its connection and sends nothing more of an answer that is passed on."""
-
-
 class BackendConnection:
     """One connection to a backend; it carries one delegation at a time."""
 
@@ -152,9 +148,9 @@
         try:
             await sink.write_chunk(begun.pop())
             whole = await self.copy_body(sink, size)
-        except BackendStalled:
+        except trio.TooSlowError:
             delegation.call.count_break("stalled_backend")
-        except (OSError, h11.RemoteProtocolError, trio.TooSlowError, trio.ClosedResourceError):
+        except (OSError, h11.RemoteProtocolError, trio.ClosedResourceError):
             pass  # the server's end, or the client's: the client can tell
         finally:
             self.pool.streamed_answers -= 1
@@ -166,10 +162,8 @@
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
-                with trio.move_on_after(STREAMED_CHUNK_TIMEOUT_S) as scope:
+                with trio.fail_after(STREAMED_CHUNK_TIMEOUT_S):
                     self.http.receive_data(await self.stream.receive(self.pool.chunk_size()))
-                if scope.cancelled_caught:
-                    raise BackendStalled
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > MAX_BODY_BYTES:
--- a/gorsefork/wire/connection_admission.py
+++ b/gorsefork/wire/connection_admission.py
@@ -29,9 +29,8 @@
     def __init__(self, clock: Clock, most: int, most_idle: int) -> None:
         self.clock, self.max_connections, self.max_idle = clock, most, most_idle
         self.connections: set[ClientConnection] = set()
-        self.idle: OrderedDict[ClientConnection, int] = (
-            OrderedDict()
-        )  # owed nothing, since when; longest first
+        # owed nothing, and since when; longest first
+        self.idle: OrderedDict[ClientConnection, int] = OrderedDict()
         # begun; the latest byte last
         self.receiving_heads: OrderedDict[ClientConnection, None] = OrderedDict()
         self.closing_since: OrderedDict[ClientConnection, int] = OrderedDict()  # told so: since when
--- a/gorsefork/wire/http1/connection_writer.py
+++ b/gorsefork/wire/http1/connection_writer.py
@@ -51,7 +51,7 @@
                 await self.flush()
             elif self.flushing:
                 await self.flushed.wait()
-        except BaseException:
+        except trio.Cancelled:
             self.break_off()
             raise
         if self.stream.closed:
