--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -417,6 +417,66 @@
         scenario("", then=then)
 
 
+def test_a_long_answer_that_only_its_connection_ends_is_reset_where_its_client_stalls() -> None:
+    """Prevents that a torn answer looks whole to a client of HTTP/1.0, which has no other sign of its end."""
+
+    async def then(world: World) -> None:
+        connection = await slow_client(world)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in DEFAULTS.items())
+        await world.clients["c1"].stream.send_all(f"GET /look HTTP/1.0\r\n{lines}\r\n".encode())
+        await world.play("box expect GET /look")
+        backend = world.servers["box"].last
+        assert backend is not None
+        chunk = f"{LONG:x}\r\n".encode() + bytes(LONG) + b"\r\n"
+        await backend.stream.send_all(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk)
+        await until(lambda: connection.streaming_answer and connection.flushing)
+        await gone(world.ingresses[0].acceptors[0], connection)
+        with pytest.raises(trio.BrokenResourceError):
+            while await world.clients["c1"].stream.receive_some():
+                pass
+        await world.clients.pop("c1").stream.aclose()
+        await world.play("o1 send vars\no1 expect +OK broken_off.stalled_client=1 faulted.look=1")
+
+    with short_times():
+        scenario("", then=then)
+
+
+def test_a_backend_that_sends_no_more_of_a_long_answer_is_given_up_and_counted() -> None:
+    """The bound on a backend's silence in the middle of an answer that is passed on."""
+
+    async def then(world: World) -> None:
+        await world.play("c1 send GET /look\nbox expect GET /look")
+        backend = world.servers["box"].last
+        assert backend is not None
+        head = f"HTTP/1.1 200 X\r\nContent-Length: {2 * LONG}\r\n\r\n".encode()
+        await backend.stream.send_all(head + bytes(LONG))
+        _, _, whole = await answer_of(world.clients["c1"])
+        assert not whole
+        await world.play("o1 send vars\no1 expect +OK broken_off.stalled_backend=1 faulted.look=1")
+
+    with mock.patch("gorsefork.wire.backends.STREAMED_CHUNK_TIMEOUT_S", STALL_TIMEOUT_S):
+        scenario("", then=then)
+
+
+def test_a_client_that_never_ends_the_body_that_was_refused_is_ended() -> None:
+    """The bound in all on a client that has had its last answer."""
+    request = "POST /buy HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n"
+
+    async def then(world: World) -> None:
+        await world.play("c1 send GET /healthz\nc1 expect 200")
+        (connection,) = world.ingresses[0].acceptors[0].connections
+        wire = world.clients.pop("c1")
+        await wire.stream.send_all(request.encode())
+        with pytest.raises(trio.BrokenResourceError), trio.fail_after(5):
+            while True:
+                await wire.stream.send_all(bytes(1000))
+                await trio.sleep(READ_PAUSE_S)
+        assert connection.stream.closed
+
+    with short_times(), mock.patch("gorsefork.wire.http1.connection.MAX_LINGER_S", STALL_TIMEOUT_S):
+        scenario("", then=then)
+
+
 def test_a_backend_that_takes_no_more_of_a_body_is_given_up_and_the_client_is_told() -> None:
     """Prevents that a call waits ten minutes for a backend that has stopped reading (issue 47, case 3)."""
 
