--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, TypeVar
+from unittest import mock
 
 import pytest
 import trio
 from scenario import CUSTOMER, World, scenario
 
+from gorsefork.memory.call import Call
 from gorsefork.storage.recorder import StoreWorker
 from gorsefork.usage.records import Use, decode
 from gorsefork.usage.store import UsageNotStored
@@ -68,6 +70,28 @@
     scenario(SERVE, operator=USAGE, then=then)
 
 
+def test_a_long_answer_whose_attempt_is_called_off_as_its_use_is_recorded_is_not_begun() -> None:
+    """Prevents a torn answer: the record had woken the attempt when it was cancelled (issue 47)."""
+
+    async def then(world: World) -> None:
+        recorder = world.ingresses[0].decision_actor.usage_recorder
+        assert recorder is not None
+        record = recorder.record
+
+        def record_then_cancel(call: Call, micro_units: int, on_recorded: Callable[[bool], None]) -> None:
+            def cancel_after(stored: bool) -> None:
+                on_recorded(stored)
+                call.attempts[0].cancel()
+
+            record(call, micro_units, cancel_after)
+
+        with mock.patch.object(recorder, "record", record_then_cancel):
+            await world.play("c1 send GET /look X-Expires-In-Ms=600\nbox expect GET /look")
+            await world.play(f"box send 200 X-Settled=2.5 | {'x' * 100_000}\nc1 expect 502")
+
+    scenario("", operator=USAGE, then=then)
+
+
 def test_what_was_not_served_is_not_recorded() -> None:
     scenario(
         """
