--- a/review/7/play.py
+++ b/review/7/play.py
@@ -115,9 +115,11 @@
             self.failed += 1
 
 
-async def figures(control: int) -> dict[str, Any]:
+async def figures(control: int, call: str = "GET /v1/usage") -> dict[str, Any]:
+    """The figures of use; ``POST /v1/usage/export`` gives them too, and sends what waits."""
     reader, writer = await asyncio.open_connection("127.0.0.1", control)
-    writer.write(b"GET /v1/usage HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n")
+    head = f"{call} HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    writer.write(head.encode())
     got = await asyncio.wait_for(read_message(reader), 3.0)
     writer.close()
     if got is None:
@@ -165,8 +167,12 @@
         await kill_and_start(rig, ingress, accounts)
     await asyncio.gather(*tasks)
     rig.note(f"clients: {load.served} requests served, {load.failed} not served")
-    until = time.monotonic() + SETTLE_S
+    until, export_at = time.monotonic() + SETTLE_S, time.monotonic() + SETTLE_S / 2
     while time.monotonic() < until:
+        if time.monotonic() >= export_at:
+            export_at = until
+            await figures(control, "POST /v1/usage/export")
+            rig.note("an operator called for the export of what waits")
         now = await figures(control)
         if now["waiting"] == 0 and accounts.uses() >= load.served:
             break
