--- a/gorsefork/storage/uses.py
+++ b/gorsefork/storage/uses.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from gorsefork.storage.database import Database, WriteFailed
+from gorsefork.usage.receipts import SentRange
 from gorsefork.usage.records import Batch, Use
 from gorsefork.usage.store import UsageNotStored
 
@@ -26,6 +27,7 @@
             self.life = max(now, int(newest[0]) + 1 if newest else 1)
             sql.execute("INSERT OR REPLACE INTO meta VALUES ('life', ?)", (str(self.life),))
             sql.execute("INSERT INTO lives (life) VALUES (?)", (self.life,))
+        self.highest_sent = 0  # of this life
         self.count = int(database.sql.execute("SELECT count(*) FROM uses").fetchone()[0])
 
     def append(self, uses: Sequence[Use]) -> None:
@@ -56,9 +58,22 @@
             closed = last is not None and acknowledged + len(rows) >= last
             if rows or closed:
                 uses = tuple(Use(*row) for row in rows)
-                return Batch(self.database.ingress, life, acknowledged + 1, uses, acknowledged + 1, closed)
+                batch = Batch(self.database.ingress, life, acknowledged + 1, uses, acknowledged + 1, closed)
+                if life == self.life:
+                    self.highest_sent = max(self.highest_sent, batch.last)
+                return batch
         return None
 
+    def sent_range(self, life: int) -> SentRange:
+        """Of an earlier life all that it recorded may have been sent: what was sent is not on disk."""
+        if life == self.life:
+            return SentRange(self.highest_sent, exact=True)
+        try:
+            row = self.database.sql.execute("SELECT last FROM lives WHERE life = ?", (life,)).fetchone()
+        except sqlite3.DatabaseError as error:
+            raise UsageNotStored(str(error)) from None
+        return SentRange(int(row[0]) if row else 0, exact=False)
+
     def acknowledge(self, life: int, upto: int, closed: bool) -> None:
         """A life whose end the accounts know has nothing more to tell, and is forgotten."""
         try:
--- a/gorsefork/usage/export_schedule.py
+++ b/gorsefork/usage/export_schedule.py
@@ -65,6 +65,10 @@
         """There was no batch to send after all."""
         self.state = "idle"
 
+    def refused_as_too_large(self, uses: int) -> None:
+        """A batch of so many uses got 413; called before ``batch_ended``, which halves what was sent."""
+        self.size = max(LEAST_BATCH, min(self.size, uses))
+
     def batch_ended(self, status: int, upto: int | None, first: int, now: int) -> Verdict:
         """The answer to a batch that began at ``first``; ``status`` 0: none came, or it cannot be read.
 
--- a/gorsefork/usage/store.py
+++ b/gorsefork/usage/store.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from gorsefork.usage.receipts import SentRange
 from gorsefork.usage.records import Batch, Use
 
 
@@ -29,10 +30,18 @@
         """
         ...
 
+    def sent_range(self, life: int) -> SentRange:
+        """What may have been sent of a life that still has something to tell.
+
+        ``UsageNotStored`` if it cannot be read just now.
+        """
+        ...
+
     def acknowledge(self, life: int, upto: int, closed: bool) -> None:
         """The accounts have all of that life up to there, and know its end if ``closed``.
-        ``UsageNotStored``: they
-        will be sent it again."""
+
+        ``UsageNotStored``: they will be sent it again.
+        """
         ...
 
     def probe(self) -> None:
@@ -57,6 +66,7 @@
         self.ingress, self.life = ingress, life
         self.uses: deque[Use] = deque()
         self.oldest, self.over, self.told = 1, False, False
+        self.highest_sent = 0
 
     def append(self, uses: Sequence[Use]) -> None:
         self.uses.extend(uses)
@@ -66,7 +76,12 @@
         closed = self.over and len(uses) == len(self.uses)
         if not uses and (not closed or self.told):
             return None
-        return Batch(self.ingress, self.life, self.oldest, uses, self.oldest, closed)
+        batch = Batch(self.ingress, self.life, self.oldest, uses, self.oldest, closed)
+        self.highest_sent = max(self.highest_sent, batch.last)
+        return batch
+
+    def sent_range(self, life: int) -> SentRange:
+        return SentRange(self.highest_sent, exact=True)
 
     def acknowledge(self, life: int, upto: int, closed: bool) -> None:
         if life != self.life:
--- a/gorsefork/wire/services/accounts.py
+++ b/gorsefork/wire/services/accounts.py
@@ -13,6 +13,7 @@
 from gorsefork.memory.clock import Clock
 from gorsefork.memory.ports import Log
 from gorsefork.usage.export_schedule import ExportSchedule, Verdict
+from gorsefork.usage.receipts import RECEIPT_STATUSES, AccountsAnswer, Acknowledgement, read_receipt
 from gorsefork.usage.records import CONTENT_TYPES, Batch, Form, Receipt
 from gorsefork.usage.store import UsageNotStored, UsageStore
 from gorsefork.wire.http1.client import HttpClient, NoAnswer
@@ -98,26 +99,22 @@
         if batch is None:
             self.shipping.no_batch()
             return False
-        status, upto = await self.post(batch)
-        if upto is not None and upto > batch.last:
-            status, upto = 0, None  # they cannot have what was never sent: nothing of it is believed
-        fault = ""
-        if status == 200 and upto is not None and upto >= batch.first - 1:
-            kept, closed = upto, batch.closed and upto == batch.last
-            try:
-                await self.worker.run(lambda: self.worker.store.acknowledge(batch.life, kept, closed))
-            except UsageNotStored as error:
-                # Guards against a full disk, which does not take this either: they are sent it once more.
-                status, upto, fault = 0, None, f"what the accounts have cannot be noted: {error}"
-        verdict = self.shipping.batch_ended(status, upto, batch.first, self.clock.now)
-        self.shipping.problem = fault or self.shipping.problem
+        answer = await self.post(batch)
+        acknowledged = await self.acknowledge(batch, answer)
+        if answer.status == 413:
+            self.shipping.refused_as_too_large(len(batch.uses))
+        verdict = self.shipping.batch_ended(
+            *self.schedule_view(answer, acknowledged), batch.first, self.clock.now
+        )
+        self.shipping.problem = acknowledged.problem or self.shipping.problem
         if verdict == "kept":
             self.changed()
             self.log(
-                f"accounts have all up to {upto} of life {batch.life}",
+                f"accounts have all up to {acknowledged.upto} of life {batch.life}",
                 event="usage.acknowledged",
                 life=batch.life,
-                upto=upto,
+                upto=acknowledged.upto,
+                sent=batch.last,
                 waiting=self.worker.store.waiting(),
             )
             self.shipping.recorded(max(1, self.worker.store.waiting()), self.clock.now)
@@ -127,26 +124,49 @@
                 event=f"usage.{verdict}",
                 life=batch.life,
                 first=batch.first,
-                status=status,
+                last=batch.last,
+                status=answer.status,
+                upto=answer.upto,
             )
         self.last_verdict = verdict
         return verdict == "kept"
 
-    async def post(self, batch: Batch) -> tuple[int, int | None]:
-        """The status, 0 if there is none that can be relied on, and up to where they say they have it."""
+    async def acknowledge(self, batch: Batch, answer: AccountsAnswer) -> Acknowledgement:
+        """Note what the answer says that the accounts have, as far as it is believed."""
+        store = self.worker.store
+        try:
+            sent = await self.worker.run(lambda: store.sent_range(batch.life))
+            read = read_receipt(answer, batch, sent)
+            if (upto := read.upto) is not None:
+                closed = batch.closed and upto == batch.last
+                await self.worker.run(lambda: store.acknowledge(batch.life, upto, closed))
+            return read
+        except UsageNotStored as error:
+            # Guards against a full disk, which does not take this either: they are sent it once more.
+            return Acknowledgement(None, f"what the accounts have cannot be noted: {error}")
+
+    @staticmethod
+    def schedule_view(answer: AccountsAnswer, acknowledged: Acknowledgement) -> tuple[int, int | None]:
+        """Status and number as the schedule is to take them: a receipt that is not believed is no answer."""
+        if acknowledged.upto is not None:
+            return 200, acknowledged.upto
+        return (0, None) if answer.status == 200 else (answer.status, answer.upto)
+
+    async def post(self, batch: Batch) -> AccountsAnswer:
+        """What the accounts answered, as far as it can be read."""
         body = batch.encode(self.settings.form)
         try:
             answer = await self.client.request(
                 "POST", self.settings.path, body, CONTENT_TYPES[self.settings.form], self.settings.timeout
             )
         except NoAnswer:
-            return 0, None
-        if answer.status not in (200, 409):
-            return answer.status, None
+            return AccountsAnswer(0)
+        if answer.status not in RECEIPT_STATUSES:
+            return AccountsAnswer(answer.status)
         try:
-            return answer.status, msgspec.json.decode(answer.body, type=Receipt).upto
+            return AccountsAnswer(answer.status, msgspec.json.decode(answer.body, type=Receipt).upto)
         except (msgspec.DecodeError, UnicodeDecodeError):
-            return 0, None
+            return AccountsAnswer(0)
 
     async def flush(self) -> None:
         """Send until nothing is left or one is not kept; for the end of a life."""
