--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -81,6 +81,8 @@
     operator: str = ""
     tree: Path = Path(__file__).parents[1]
     port: int = field(default_factory=lambda: free_port())
+    memory_mb: int = 0  # its limits; 0: none is told
+    sockets: int = 0
 
 
 class Ingress:
@@ -120,7 +122,7 @@
             "familyInfo": {"sharedCounter": True, "countWait": 80_000_000, "settles": True, "maxUnits": 6},
             "invariants": {"drainGrace": 250_000_000, "coldShare": 1.0, "rampTime": 1_000_000},
         }
-        config = {
+        config: dict[str, Any] = {
             "name": f"n{place.number}",
             "listen": f"127.0.0.1:{place.port}",
             "seed": str(place.number),
@@ -128,6 +130,9 @@
             "counter": place.counter,
             "settings": settings,
         }
+        limits = {"memory_mb": place.memory_mb, "sockets": place.sockets}
+        if any(limits.values()):
+            config["limits"] = {name: value for name, value in limits.items() if value}
         (place.folder / "config.json").write_text(json.dumps(config))
         if place.operator:
             (place.folder / "operator.toml").write_text(place.operator)
--- a/gorsefork/life/config.py
+++ b/gorsefork/life/config.py
@@ -37,6 +37,7 @@
     ops: str = ""  # the operators' address
     scratch: str = ""  # a folder that this ingress's processes share while its version changes
     listen_fd: int | None = None  # the clients' socket, where the platform holds it for all processes
+    memory_mb: int = 0  # the limit of all processes of this ingress; 0: none is told
 
 
 def read_config(env: Mapping[str, str]) -> Config:
@@ -88,6 +89,7 @@
             raw.get("ops") or "",
             env.get("TMPDIR", "") if fd else "",
             int(fd) if fd else None,
+            int(raw.get("limits", {}).get("memory_mb", 0)),
         )
     except INVALID_VALUE_ERRORS as error:
         raise InvalidConfig(f"{type(error).__name__}: {error}") from None
--- a/gorsefork/life/start.py
+++ b/gorsefork/life/start.py
@@ -20,9 +20,11 @@
 from gorsefork.memory.clock import Clock, LoopStalls
 from gorsefork.memory.commands import OperatorCommands
 from gorsefork.memory.decision_actor import DecisionActor
+from gorsefork.memory.memory_account import MemoryAccount
 from gorsefork.memory.ports import Log
 from gorsefork.memory.registry import Registry
 from gorsefork.memory.serving import ServingState
+from gorsefork.memory.work_turns import WorkTurns
 from gorsefork.wire.acceptor import Acceptor
 from gorsefork.wire.backends import BackendPool
 from gorsefork.wire.counter import CounterClient
@@ -38,11 +40,17 @@
     from gorsefork.life.introspection_config import IntrospectionConfig
 
 CLIENT_SHARE, BACKEND_SHARE, INTROSPECTION_SHARE = 0.4, 0.3, 0.1  # of the descriptors
+FORWARDED_BODY_SHARE = 0.5  # of the connections to backends
 # descriptors for all else: listeners, operators, counter, discovery, peers, the loop's own
 OTHER_DESCRIPTORS = 34
 # Of the descriptors, clients without a request. Guards against a crowd that takes this ingress's time rather
 # than its places: with four times as many, those that ask nonsense on and on left too little for calls.
 IDLE_CLIENT_SHARE = 0.1
+# Of the memory beyond what the program takes at rest, for what clients send and have not taken yet. The rest
+# is for calls, attempts, connections, and what objects take beyond their bytes.
+RESTING_MEMORY_MB, CLIENT_MEMORY_SHARE = 32, 0.25
+MIN_CLIENT_MEMORY_BYTES, MAX_CLIENT_MEMORY_BYTES = 2 << 20, 32 << 20
+DEFAULT_MEMORY_MB = 96  # where the configuration tells none
 DISCOVERY_TIMEOUT_S = 0.3  # s at the start for discovery's first word, before this ingress is ready
 ACCEPT_AFTER_SIGTERM_S = 0.45  # s after SIGTERM: the front goes on sending new connections for up to 0.4 s
 LAST_REQUESTS_S = 0.1  # s for the requests on the last connections to be read
@@ -68,6 +76,12 @@
     return OPERATOR_FILE if OPERATOR_FILE.exists() else None
 
 
+def client_memory_bytes(memory_mb: int) -> int:
+    """The bytes that all clients together may have held for them, of a process with such a limit."""
+    spare = ((memory_mb or DEFAULT_MEMORY_MB) - RESTING_MEMORY_MB) << 20
+    return max(MIN_CLIENT_MEMORY_BYTES, min(MAX_CLIENT_MEMORY_BYTES, int(spare * CLIENT_MEMORY_SHARE)))
+
+
 class AbsentService:
     """Stands where a site has no counter or no messages: nothing is added, nothing is sent."""
 
@@ -97,6 +111,7 @@
         self.clock, self.serving, self.ending = clock, ServingState(), trio.Event()
         clock.on_stalls = self.log_stalls
         self.ready = self.serving.ready
+        self.turns, self.client_memory = WorkTurns(), MemoryAccount(client_memory_bytes(config.memory_mb))
         self.decision_actor = DecisionActor(settings, config.seed, clock, self.log_note)
         self.decision_actor.site_names += config.sites
         self.decision_actor.kind_names += config.kinds
@@ -111,6 +126,7 @@
             settings.limits.connect_timeout,
             int(sockets * BACKEND_SHARE),
             self.decision_actor.begin_streamed_answer,
+            self.turns,
         )
         known = read_list(config.known, clock, cached=True)
         self.registry.apply(known)
@@ -161,8 +177,11 @@
                 int(sockets * IDLE_CLIENT_SHARE),
                 config.listen_fd,
                 self.decision_actor.metrics.count_break,
+                self.turns,
+                self.client_memory,
             )
         ]
+        self.acceptors[0].max_forwarded_bodies = self.max_forwarded_bodies(sockets)
         if introspection is not None:
             self.acceptors.append(self.make_introspection_acceptor(introspection, settings, sockets))
         if extra is not None:
@@ -234,6 +253,8 @@
             self.clock,
             int(sockets * INTROSPECTION_SHARE),
             count_break=self.decision_actor.metrics.count_break,
+            turns=self.turns,
+            memory=self.client_memory,
         )
         front.start = acceptor.start
         return acceptor
@@ -246,11 +267,19 @@
         )
         return max(4, min(int(sockets * CLIENT_SHARE), int(sockets * rest) - others))
 
+    @staticmethod
+    def max_forwarded_bodies(sockets: int) -> int:
+        """Long bodies that may be on their way at a time, each on a connection to a backend of its own."""
+        return max(1, int(sockets * BACKEND_SHARE * FORWARDED_BODY_SHARE))
+
     def share_limits(self, shared: bool) -> None:
         """While two processes are this ingress, each may hold half of its connections."""
         sockets = self.config.sockets // 2 if shared else self.config.sockets
         self.acceptors[0].max_connections = self.max_clients(sockets)
         self.acceptors[0].max_idle = int(sockets * IDLE_CLIENT_SHARE)
+        self.acceptors[0].max_forwarded_bodies = self.max_forwarded_bodies(sockets)
+        memory = client_memory_bytes(self.config.memory_mb)
+        self.client_memory.limit = memory // 2 if shared else memory
         self.pool.max_connections = int(sockets * BACKEND_SHARE)
 
     def begin_serving(self) -> None:
--- a/gorsefork/memory/body_stream.py
+++ b/gorsefork/memory/body_stream.py
@@ -9,6 +9,7 @@
 
 MAX_BUFFERED_BYTES = 65536  # a larger body is streamed
 MAX_BUFFERED_BYTES_TOTAL = 4 << 20  # for all streamed bodies, which share it equally
+MIN_CHUNK_BYTES = 4096  # smaller chunks are joined while they wait
 MIN_BUFFERED_BYTES = 4096  # that one streamed body may buffer, however many are open
 
 
@@ -45,10 +46,17 @@
     def put(self, chunk: bytes) -> None:
         """Append a chunk and wake the reader; the chunk of a discarded body is dropped."""
         if not self.discarded:
-            self.chunks.append(chunk)
-            self.buffered_bytes += len(chunk)
+            self.append(chunk)
         self.data_arrived.set()
 
+    def append(self, chunk: bytes) -> None:
+        """Buffer a chunk. Small ones are joined: as objects of their own they take many times their bytes."""
+        self.buffered_bytes += len(chunk)
+        if self.chunks and len(self.chunks[-1]) < MIN_CHUNK_BYTES:
+            self.chunks[-1] += chunk
+        else:
+            self.chunks.append(chunk)
+
     def is_full(self) -> bool:
         """Whether the stream has used up its share of the buffer space; never so for a discarded body."""
         share = MAX_BUFFERED_BYTES_TOTAL // max(1, len(self.open_streams))
--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -175,6 +175,13 @@
             self.count_end("gone")
         return was_open
 
+    def release(self) -> None:
+        """Drop what it holds, once it is answered and has no open attempt: at once, not with the next
+        collection of reference cycles."""
+        self.body, self.body_stream = b"", None
+        self.reply = lambda answer: None
+        self.client_has_left = lambda: True
+
     def open_attempts(self) -> int:
         return sum(not attempt.ended for attempt in self.attempts)
 
@@ -212,6 +219,11 @@
         if self.call.metrics is not None:
             self.call.metrics.sent_to_backends[self.call.class_index] += 1
 
+    def detach(self) -> None:
+        """Drop the ties to the transport that carried it out: it is over."""
+        self.on_cancel = self.on_deadline_change = None
+        self.clear_deadline = lambda: None
+
     def cancel(self) -> None:
         self.cancelled = True
         if self.on_cancel is not None:
--- a/gorsefork/memory/decision_actor.py
+++ b/gorsefork/memory/decision_actor.py
@@ -303,13 +303,11 @@
 
     def drop_if_finished(self, call: Call) -> None:
         """Drop a call that is answered and has no open attempt."""
-        if (
-            call.finished
-            and not call.open_attempts()
-            and self.calls.pop(call.id, None) is not None
-            and self.calls_by_trace.get(call.trace_id) is call
-        ):
+        if not call.finished or call.open_attempts() or self.calls.pop(call.id, None) is None:
+            return
+        if self.calls_by_trace.get(call.trace_id) is call:
             del self.calls_by_trace[call.trace_id]
+        call.release()
 
     def fail_unrecorded_call(self, name: str) -> None:
         """Fail a call whose usage was not recorded before its deadline: whether it took effect is unknown."""
--- a/gorsefork/wire/acceptor.py
+++ b/gorsefork/wire/acceptor.py
@@ -11,7 +11,9 @@
 
 from gorsefork.memory.arrival import ArrivalTime
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.memory_account import MemoryAccount
 from gorsefork.memory.metrics import BreakReason
+from gorsefork.memory.work_turns import WorkTurns
 from gorsefork.wire.connection_admission import ConnectionAdmission
 from gorsefork.wire.http1.connection import ClientConnection
 from gorsefork.wire.http1.exchange import Exchange, Front
@@ -26,6 +28,7 @@
 MAX_FAILURES_PER_STEP = 16
 # s between looks at a backlog that could not be emptied, as the listener closes
 BACKLOG_RETRY_PAUSE_S = 0.005
+DEFAULT_MEMORY_BYTES = 16 << 20  # for the clients of a listener that shares no account
 FIRST_BYTE_TIMEOUT_S = 1.0  # s that a new connection may stay silent once this ingress closes
 
 CONNECTION_ERRORS = frozenset(
@@ -53,8 +56,12 @@
         most_idle: int = 0,
         inherited: int | None = None,
         count_break: Callable[[BreakReason], None] = lambda reason: None,
+        turns: WorkTurns | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         super().__init__(clock, most, most_idle or most)
+        self.turns = turns or WorkTurns()
+        self.memory = memory or MemoryAccount(DEFAULT_MEMORY_BYTES)
         self.front, self.count_break = front, count_break
         self.closing = False
         self.nursery: trio.Nursery | None = None
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -14,6 +14,8 @@
 from gorsefork.memory.clock import SECOND, Clock, monotonic_us
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.registry import RegisteredBackend, Registry
+from gorsefork.memory.work_turns import WorkTurns
+from gorsefork.wire.http1.paced_parser import STEP_DONE, PacedParser
 from gorsefork.wire.stream import LOCAL_RETRY_PAUSE_S, LocalConnectError, PeerStalled, Stream, open_connection
 
 MAX_BODY_BYTES = 33 << 20  # bytes of an answer; a longer one is spoilt
@@ -33,7 +35,7 @@
     """One connection to a backend; it carries one delegation at a time."""
 
     def __init__(self, stream: Stream, life: int, pool: BackendPool) -> None:
-        self.stream, self.http, self.pool = stream, h11.Connection(h11.CLIENT), pool
+        self.stream, self.parser, self.pool = stream, PacedParser(h11.CLIENT), pool
         self.reusable, self.idle_since, self.generation = True, 0, life
 
     async def run_attempt(self, delegation: BackendAttempt, authority: str, left_ms: int) -> AttemptResult:
@@ -77,7 +79,7 @@
 
     async def send(self, *events: h11.Event) -> None:
         await self.stream.send(
-            [part for event in events for part in self.http.send_with_data_passthrough(event) or ()],
+            [part for event in events for part in self.parser.http.send_with_data_passthrough(event) or ()],
             UPLOAD_STALL_TIMEOUT_S,
         )
 
@@ -88,18 +90,20 @@
         if flow.reading_begun:  # since this attempt began: its connection came up after the other's
             raise BodyAborted
         while pieces := await flow.read_available():
-            await self.send(*map(h11.Data, pieces))
+            await self.send(h11.Data(b"".join(pieces)))
         await self.send(h11.EndOfMessage())
 
     async def read_answer(self) -> AttemptResult | tuple[h11.Response, list[bytearray]]:
         """The whole answer, or the head and the beginning of one that is too large to hold."""
         head, body, asides, begun = None, bytearray(), 0, False
         while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
+            event = self.parser.next_event()
+            if event is STEP_DONE:
+                await self.let_others_go_first()
+            elif event is h11.NEED_DATA:
                 # Guards against an answer that is said to be longer than it is: the rest never comes.
                 with trio.fail_after(CHUNK_TIMEOUT_S if begun else math.inf):
-                    self.http.receive_data(await self.stream.receive())
+                    self.parser.receive(await self.stream.receive())
                 begun = True
             elif isinstance(event, h11.Response):
                 head = event
@@ -120,10 +124,14 @@
 
     def prepare_reuse(self) -> None:
         """Behind a whole answer: whether this connection may carry another delegation."""
-        self.reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        self.reusable = self.parser.is_done() and not self.parser.has_surplus()
         if self.reusable:
-            self.http.start_next_cycle()
-            self.reusable = not self.http.trailing_data[0]
+            self.parser.start_next_cycle()
+
+    async def let_others_go_first(self) -> None:
+        """Before the next step of an answer in very many parts: a turn among all that have much to do."""
+        async with self.pool.turns.step():
+            self.parser.begin_step()
 
     async def stream_answer(
         self, delegation: BackendAttempt, head: h11.Response, begun: list[bytearray]
@@ -160,10 +168,12 @@
 
     async def copy_body(self, sink: AnswerSink, size: int) -> bool:
         while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
+            event = self.parser.next_event()
+            if event is STEP_DONE:
+                await self.let_others_go_first()
+            elif event is h11.NEED_DATA:
                 with trio.fail_after(STREAMED_CHUNK_TIMEOUT_S):
-                    self.http.receive_data(await self.stream.receive(self.pool.chunk_size()))
+                    self.parser.receive(await self.stream.receive(self.pool.chunk_size()))
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > MAX_BODY_BYTES:
@@ -279,6 +289,7 @@
             ending = AttemptResult("moot" if delegation.cancelled else "connect_failed")
         elif ending is None:
             ending = AttemptResult("cancelled" if delegation.cancelled else "timeout")
+        delegation.detach()
         body = delegation.call.body_stream
         if body is not None and body.is_broken_off() and not delegation.fully_sent:
             delegation.call.count_break("incomplete_body")
@@ -361,7 +372,9 @@
         connect_timeout: float,
         most_links: int,
         opened: Callable[[BackendAttempt, StreamedAnswer, float], Awaitable[bool]],
+        turns: WorkTurns | None = None,
     ) -> None:
+        self.turns = turns or WorkTurns()
         self.clock, self.registry, self.on_attempt_ended, self.on_streamed_answer = (
             clock,
             registry,
--- a/gorsefork/wire/connection_admission.py
+++ b/gorsefork/wire/connection_admission.py
@@ -35,6 +35,7 @@
         self.receiving_heads: OrderedDict[ClientConnection, None] = OrderedDict()
         self.closing_since: OrderedDict[ClientConnection, int] = OrderedDict()  # told so: since when
         self.draining_since: int | None = None
+        self.max_forwarded_bodies = most
 
     async def close_expired(self) -> None:
         """Close what has stood without a request: silent clients, and those that asked once and stay."""
@@ -125,6 +126,14 @@
         self.receiving_heads.pop(connection, None)
         self.closing_since.pop(connection, None)
 
+    def may_forward_body(self) -> bool:
+        """Whether one more body may be passed on as it comes. Guards against clients that stop half way
+        through: each takes a connection to a backend, and usual requests need some too."""
+        forwarded = sum(
+            c.exchange is not None and c.exchange.body_stream is not None for c in self.connections
+        )
+        return forwarded < self.max_forwarded_bodies
+
     def busy(self) -> bool:
         """Whether a client is owed something, or its request has begun. Guards against clients that say
         nothing or never close: a drain is not to wait for those."""
--- a/gorsefork/wire/http1/client.py
+++ b/gorsefork/wire/http1/client.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from gorsefork.wire.http1.paced_parser import STEP_DONE, PacedParser
 from gorsefork.wire.stream import Stream, connect
 
 CONNECT_TIMEOUT_S = 1.0  # s
@@ -35,7 +36,7 @@
 
     def __init__(self, dial: str, authorization: str = "", most_body: int = 1 << 20) -> None:
         self.address, self.authorization, self.max_body = dial, authorization, most_body
-        self.idle_connection: tuple[Stream, h11.Connection] | None = None
+        self.idle_connection: tuple[Stream, PacedParser] | None = None
 
     def __repr__(self) -> str:
         return f"HttpClient({self.address!r})"
@@ -65,8 +66,10 @@
                 stream = await connect(self.address, CONNECT_TIMEOUT_S)
                 if stream is None:
                     raise NoAnswer(f"{self.address} takes no connection")
-                http = h11.Connection(h11.CLIENT)
-                return await self.request_once(stream, http, method, target, body, media, headers, kept=False)
+                parser = PacedParser(h11.CLIENT)
+                return await self.request_once(
+                    stream, parser, method, target, body, media, headers, kept=False
+                )
         except trio.TooSlowError:
             raise NoAnswer(f"{self.address} did not answer in {within:g} s") from None
         except (OSError, h11.ProtocolError, trio.ClosedResourceError) as error:
@@ -75,7 +78,7 @@
     async def request_once(
         self,
         stream: Stream,
-        http: h11.Connection,
+        parser: PacedParser,
         method: str,
         target: str,
         body: bytes,
@@ -92,35 +95,36 @@
             *([h11.Data(body)] if body else []),
             h11.EndOfMessage(),
         )
-        parts = [part for event in events for part in http.send_with_data_passthrough(event) or ()]
+        parts = [part for event in events for part in parser.http.send_with_data_passthrough(event) or ()]
         clean = False
         try:
-            response = await self.exchange(stream, http, parts, kept)
-            clean = http.our_state is h11.DONE and http.their_state is h11.DONE
+            response = await self.exchange(stream, parser, parts, kept)
+            clean = parser.is_done()
         finally:
             if clean:
-                http.start_next_cycle()
-                self.idle_connection = (stream, http)
+                parser.start_next_cycle()
+                self.idle_connection = (stream, parser)
             else:
                 stream.close()
         return response
 
-    async def exchange(
-        self, stream: Stream, http: h11.Connection, parts: list[bytes], kept: bool
-    ) -> Response:
+    async def exchange(self, stream: Stream, parser: PacedParser, parts: list[bytes], kept: bool) -> Response:
         head: h11.Response | None = None
         body, heard = bytearray(), False
         try:
             await stream.send(parts)
-            while not isinstance(event := http.next_event(), h11.EndOfMessage):
-                if event is h11.NEED_DATA:
+            while not isinstance(event := parser.next_event(), h11.EndOfMessage):
+                if event is STEP_DONE:
+                    await trio.lowlevel.checkpoint()
+                    parser.begin_step()
+                elif event is h11.NEED_DATA:
                     data = await stream.receive()
                     if not data and kept and not heard:
                         raise StaleConnection
                     if not data and head is None:
                         raise NoAnswer(f"{self.address} closed with no answer")
                     heard = True
-                    http.receive_data(data)
+                    parser.receive(data)
                 elif isinstance(event, h11.Response):
                     head = event
                 elif isinstance(event, h11.Data):
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -14,9 +14,11 @@
 
 from gorsefork.memory.arrival import ArrivalTime
 from gorsefork.memory.body_stream import MAX_BUFFERED_BYTES, BodyStream
-from gorsefork.memory.call import Answer, DeniedAnswer, StreamedAnswer
+from gorsefork.memory.call import Answer, DeniedAnswer, OverloadAnswer, StreamedAnswer
 from gorsefork.memory.clock import Clock
+from gorsefork.memory.memory_account import MemoryAccount
 from gorsefork.memory.metrics import BreakReason
+from gorsefork.memory.work_turns import WorkTurns
 from gorsefork.wire.http1.connection_writer import CLIENT_STALL_TIMEOUT_S, ConnectionWriter
 from gorsefork.wire.http1.exchange import (
     MAX_BODY_BYTES,
@@ -27,15 +29,18 @@
     error_status_of,
     to_http,
 )
-from gorsefork.wire.stream import Stream
+from gorsefork.wire.http1.paced_parser import MAX_HEAD_BYTES, STEP_DONE, PacedParser
+from gorsefork.wire.stream import READ_SIZE, Stream
 
-MAX_HEAD_BYTES = 16384
+MAX_AHEAD_BYTES = MAX_HEAD_BYTES  # of further requests that are held behind the one in hand
 MAX_DISCARDED_BYTES = 1 << 18  # bytes that are read and dropped behind a last answer
 MAX_REFUSED_BODY_BYTES = 64 << 20  # the same where they belong to a body that was answered before its end
 # s between looks whether a client that is not read on has left: 0.1 s are allowed
 DISCONNECT_CHECK_INTERVAL_S = 0.05
 REQUEST_TIMEOUT_S = 2.5  # s from the first byte of a request to its last, or to the end of its head
 BODY_CHUNK_TIMEOUT_S = 1.5  # s between two pieces of a body, beyond that
+MAX_ROOM_WAIT_S = 2.0  # s for which a client is not read on for want of memory
+NO_ROOM_RETRY_AFTER_S = 0.5  # s until a client that gave way for want of memory may try again
 ERROR_PAUSE_S = 0.25  # s until a client that was answered with an error is read on
 LINGER_S = 1.0  # s that a client has to close once it has its last answer
 REFUSED_BODY_LINGER_S = 3.0  # the same for one that was answered before the end of its body
@@ -58,6 +63,8 @@
     draining_since: int | None
     idle: OrderedDict[ClientConnection, int]
     receiving_heads: OrderedDict[ClientConnection, None]
+    turns: WorkTurns
+    memory: MemoryAccount
 
     def count_break(self, reason: BreakReason) -> None:
         """A connection was ended in the middle of a request or an answer."""
@@ -79,6 +86,10 @@
         """It holds a place no longer."""
         ...
 
+    def may_forward_body(self) -> bool:
+        """Whether one more body may be passed on as it comes, which takes a connection to a backend."""
+        ...
+
 
 class ClientConnection:
     """Reads in its own task. Answers are written at once from wherever they come, with one gathered write.
@@ -92,10 +103,13 @@
     def __init__(self, stream: Stream, acceptor: ConnectionOwner, came_at: int) -> None:
         self.stream, self.acceptor = stream, acceptor
         self.arrival, self.bytes_arrived_at = ArrivalTime(acceptor.clock, came_at), came_at
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.parser = PacedParser(h11.SERVER)
+        self.holding = acceptor.memory.open(self.give_way)
         self.exchange: Exchange | None = None
         self.writer = ConnectionWriter(stream, acceptor.start, self.on_flushed, self.on_stalled)
         self.advancing = False
+        self.catching_up: trio.Event | None = None  # set once what was read so far has been acted on
+        self.close_once_caught_up = False
         self.read_scope = trio.CancelScope()
         self.is_last = False  # nothing more is read from this client
         self.served = False  # it has had an answer
@@ -122,9 +136,9 @@
         self.finish()
 
     async def read_requests(self) -> None:
-        while data := await self.receive():
-            if self.feed(data):
-                break
+        while True:
+            if self.catching_up is not None:
+                await self.catching_up.wait()
             await self.wait_for_body_space()
             await self.wait_for_input_space()
             while self.paused:
@@ -134,11 +148,57 @@
                 self.paused = False
                 self.advance()
                 await self.wait_for_input_space()
+            await self.wait_for_room()
+            if self.catching_up is None and not await self.receive():
+                return
 
-    async def receive(self) -> bytes:
-        """The next bytes; none at the end."""
+    async def receive(self) -> bool:
+        """Feed the next bytes; whether there may be more. They are held by the parser alone from here on:
+        a reader that waits for the next ones is not to keep the last."""
         self.arrival.begin_wait()
-        return await self.stream.receive()
+        data = await self.stream.receive_if_ready(self.read_size)
+        return data is None or (bool(data) and not self.feed(data))
+
+    def read_size(self) -> int:
+        """How many bytes may be read just now, 0 if none."""
+        if self.is_last:
+            return READ_SIZE  # it is dropped
+        most = READ_SIZE if self.parser.is_in_body() else MAX_HEAD_BYTES
+        return min(most, self.holding.room())
+
+    async def wait_for_room(self) -> None:
+        """Wait until the memory account lets this client send more; it is not to blame for that wait."""
+        if self.is_last or self.holding.may_grow():
+            return
+        deadline, self.read_scope.deadline = self.read_scope.deadline, math.inf
+        with trio.move_on_after(MAX_ROOM_WAIT_S) as scope:
+            await self.holding.wait_for_room()
+        if scope.cancelled_caught:
+            self.give_way()
+        if not self.is_last:
+            self.read_scope.deadline = max(deadline, trio.current_time() + BODY_CHUNK_TIMEOUT_S)
+
+    def give_way(self) -> bool:
+        """Refuse a request that has not come whole, for want of memory; False if there is none."""
+        if self.is_last or self.stream.closed:
+            return False
+        if self.exchange is None and self.parser.expects_head() and self.parser.pending and not self.flushing:
+            self.refuse(OverloadAnswer(NO_ROOM_RETRY_AFTER_S))
+            return True
+        if self.exchange is not None and not self.exchange.answered and self.parser.is_in_body():
+            self.refuse(OverloadAnswer(NO_ROOM_RETRY_AFTER_S))
+            return True
+        return False
+
+    def update_holding(self) -> None:
+        """Tell the memory account what this connection holds."""
+        if self.stream.closed:
+            self.holding.resize(0)
+            return
+        size = len(self.parser.pending) + sum(map(len, self.writer.unsent))
+        if (exchange := self.exchange) is not None:
+            size += exchange.held_bytes()
+        self.holding.resize(size)
 
     def on_timeout(self) -> bool:
         """This client's time is over, for a request that has begun or for its first byte. Whether its end is
@@ -148,11 +208,14 @@
             return False
         if self.is_last:
             return self.continue_lingering()
+        if self.catching_up is not None:  # it is this ingress that is behind
+            self.read_scope = trio.CancelScope(deadline=trio.current_time() + BODY_CHUNK_TIMEOUT_S)
+            return True
         self.read_scope, exchange = trio.CancelScope(), self.exchange
         if exchange is None:
             self.close_if_idle()
             self.is_last |= self.flushing  # once that is done it ends
-        elif not exchange.answered and self.http.their_state is h11.SEND_BODY:
+        elif not exchange.answered and self.parser.is_in_body():
             self.reject(408)  # else its last byte came in this very moment, and it is in hand
         return not self.stream.closed
 
@@ -165,7 +228,7 @@
             self.reject(408)
 
     def feed(self, data: bytes) -> bool:
-        """Feed what came; whether this client sends too much ahead of its answer, or behind its last."""
+        """Feed what came; whether this client sends too much behind its last answer."""
         self.bytes_arrived_at = self.arrival.earliest()
         self.arrival.mark_drained()
         if self.is_last:
@@ -175,17 +238,14 @@
             within = LAST_HEADS_TIMEOUT_S if self.acceptor.closing else REQUEST_TIMEOUT_S
             self.read_scope.deadline = trio.current_time() + within  # lifted once the request is whole
         self.acceptor.head_received(self)
-        self.http.receive_data(data)
+        self.parser.receive(data)
+        self.update_holding()
         self.advance()
         if self.exchange is not None and self.read_scope.deadline < math.inf:  # in the middle of a body
             self.read_scope.deadline = max(
                 self.read_scope.deadline, trio.current_time() + BODY_CHUNK_TIMEOUT_S
             )
-        return self.exchange is not None and not self.has_been_answered() and self.is_input_full()
-
-    def has_been_answered(self) -> bool:
-        """Whether this client has an answer, or is getting its first: it may not have read all of it yet."""
-        return self.served or self.flushing or self.streaming_answer
+        return False
 
     def is_expecting_head(self) -> bool:
         """Whether what comes now belongs to a request that may begin."""
@@ -193,15 +253,15 @@
 
     def is_input_full(self) -> bool:
         """Whether the client has sent as much ahead as is held for it."""
-        return len(self.http.trailing_data[0]) > MAX_BUFFERED_BYTES + MAX_HEAD_BYTES
+        return not self.parser.expects_data() and len(self.parser.pending) >= MAX_AHEAD_BYTES
 
     async def wait_for_input_space(self) -> None:
         """Read no more from a client that sends ahead, until its requests so far have been begun.
 
         Guards against a close over what it sent: that is a reset, and would take back the answers that it has
-        not read yet. A client that has had none is ended (``feed``).
+        not read yet.
         """
-        while self.has_been_answered() and not (self.is_last or self.paused) and self.is_input_full():
+        while not (self.is_last or self.paused) and self.is_input_full():
             if self.stream.peer_has_closed():
                 raise ConnectionResetError(errno.ECONNRESET, "the client has left")
             await trio.sleep(DISCONNECT_CHECK_INTERVAL_S)
@@ -229,64 +289,112 @@
         if exchange is not None and not exchange.answered:
             exchange.answered = True
             exchange.on_client_left()
+        self.release(exchange)
+
+    def release(self, exchange: Exchange | None) -> None:
+        """Drop what is held, at once and not with the next collection of reference cycles."""
+        self.holding.resize(0)
+        self.holding.give_way = lambda: False
+        self.parser.clear()
+        self.writer.detach()
+        if exchange is not None:
+            exchange.release()
 
     def advance(self) -> None:
-        """Act on what has been read so far. An answer given within only ends its round of this loop: many
-        requests in one go would otherwise stack up and end the program."""
-        if self.advancing:
+        """Act on what has been read so far, for one step; the rest takes its turn among other connections.
+
+        An answer given within only ends its round of this loop: many requests in one go would otherwise stack
+        up and end the program.
+        """
+        if self.advancing or self.catching_up is not None:
             return
+        if self.parser.has_long_input() or not self.take_step():
+            self.catching_up = trio.Event()
+            self.acceptor.start(self.catch_up)
+
+    def take_step(self) -> bool:
+        """Whether all that can be acted on just now has been."""
         self.advancing = True
+        self.parser.begin_step()
         try:
-            self.process_events()
+            return self.process_events()
         finally:
             self.advancing = False
+            self.update_holding()
+
+    async def catch_up(self) -> None:
+        """Go on with what one step was too short for."""
+        caught_up = False
+        try:
+            while not caught_up and not self.stream.closed:
+                async with self.acceptor.turns.step():
+                    caught_up = self.take_step()
+        finally:
+            event, self.catching_up = self.catching_up, None
+            if event is not None:
+                event.set()
+        if self.close_once_caught_up:
+            self.close_if_idle()
 
-    def process_events(self) -> None:
+    def process_events(self) -> bool:
+        """Act on the parser's events; whether it has no more for now."""
         while not self.is_last and not self.paused and not self.holds_back_requests():
             try:
-                event = self.http.next_event()
+                event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
                 self.reject(error.error_status_hint)
-                return
+                return True
+            if event is STEP_DONE:
+                return False
             if event is h11.NEED_DATA:
-                if self.http.they_are_waiting_for_100_continue:
+                if self.parser.http.they_are_waiting_for_100_continue:
                     self.write(h11.InformationalResponse(status_code=100, headers=[]))
-                return
+                return True
             if isinstance(event, h11.Request):
-                self.acceptor.receiving_heads.pop(self, None)
-                headers: dict[bytes, bytes] = {}
-                for name, value in event.headers:  # what stands twice is joined, as its readers expect
-                    seen = headers.get(bytes(name))
-                    headers[bytes(name)] = bytes(value) if seen is None else seen + b", " + bytes(value)
-                most = MAX_BODY_BYTES if self.acceptor.front.streams_bodies else MAX_BUFFERED_BYTES
-                if fault := error_status_of(event, headers, most):
-                    self.reject(fault)
-                    return
-                self.exchange = exchange = Exchange(
-                    event.method.decode("ascii"),
-                    event.target.decode("latin-1"),
-                    headers,
-                    self.bytes_arrived_at,
-                    lambda answer: None,
-                )
-                exchange.client_has_left = self.stream.peer_has_closed
-                exchange.reply = lambda answer, exchange=exchange: self.reply(exchange, answer)  # type: ignore[misc]
+                self.begin_request(event)
             elif isinstance(event, h11.Data) and self.exchange is not None:
                 self.add_body(self.exchange, event.data)
             elif isinstance(event, h11.EndOfMessage) and self.exchange is not None:
-                if self.exchange.body_stream is None and self.close_if_client_left():
-                    return
-                self.read_scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
-                exchange = self.exchange
-                if exchange.body_stream is None:
-                    exchange.arrived_at = self.bytes_arrived_at  # its time counts from its last byte
-                    self.acceptor.front.begin(exchange)
-                    continue
-                if exchange.call is not None:
-                    exchange.call.upload_finished(self.bytes_arrived_at)
-                exchange.body_stream.end()
+                self.end_request(self.exchange)
             else:  # paused behind the request in hand, or the client has closed
-                return
+                return True
+        return True
+
+    def begin_request(self, event: h11.Request) -> None:
+        """A whole head: its body is read from here on, or it is refused."""
+        self.acceptor.receiving_heads.pop(self, None)
+        headers: dict[bytes, bytes] = {}
+        for name, value in event.headers:  # what stands twice is joined, as its readers expect
+            seen = headers.get(bytes(name))
+            headers[bytes(name)] = bytes(value) if seen is None else seen + b", " + bytes(value)
+        most = MAX_BODY_BYTES if self.acceptor.front.streams_bodies else MAX_BUFFERED_BYTES
+        if fault := error_status_of(event, headers, most):
+            self.reject(fault)
+            return
+        self.exchange = exchange = Exchange(
+            event.method.decode("ascii"),
+            event.target.decode("latin-1"),
+            headers,
+            self.bytes_arrived_at,
+            lambda answer: None,
+        )
+        exchange.client_has_left = self.stream.peer_has_closed
+        exchange.reply = lambda answer: self.reply(exchange, answer)
+
+    def end_request(self, exchange: Exchange) -> None:
+        """Its last byte has come."""
+        if exchange.body_stream is None and self.close_if_client_left():
+            return
+        self.read_scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
+        if exchange.body_stream is None:
+            exchange.arrived_at = self.bytes_arrived_at  # its time counts from its last byte
+            self.acceptor.front.begin(exchange)
+            if exchange.call is not None:
+                exchange.body = bytearray()  # the call has its own
+            return
+        if exchange.call is not None:
+            exchange.call.upload_finished(self.bytes_arrived_at)
+        exchange.body_stream.end()
 
     def holds_back_requests(self) -> bool:
         """Whether the next request waits for the client to take the answer before it."""
@@ -317,6 +425,9 @@
             return
         if self.close_if_client_left():
             return
+        if not self.acceptor.may_forward_body():
+            self.refuse(OverloadAnswer(NO_ROOM_RETRY_AFTER_S))
+            return
         length = exchange.headers.get(b"content-length")
         exchange.body_stream = BodyStream(int(length) if length is not None else None, bytes(exchange.body))
         exchange.discarded, exchange.body = len(exchange.body), bytearray()
@@ -326,11 +437,17 @@
     def reject(self, status: int) -> None:
         """A request that cannot be read or is too large: a plain answer, and nothing more is read. A call in
         hand on this connection has nobody any more to whom it could be answered."""
+        self.refuse(DeniedAnswer(status))
+
+    def refuse(self, answer: DeniedAnswer | OverloadAnswer) -> None:
+        """Answer a request that has not come whole, as the last one of this connection."""
         exchange = self.exchange or Exchange("", "", {}, 0, lambda answer: None)
         if exchange.call is not None:
             exchange.on_client_left()
         self.exchange = exchange
-        self.reply(exchange, DeniedAnswer(status), last=True)
+        self.reply(exchange, answer, last=True)
+        self.parser.clear()
+        self.update_holding()
 
     def reply(self, exchange: Exchange, answer: Answer, last: bool = False) -> None:
         """Exactly one answer: the first."""
@@ -340,7 +457,7 @@
         if isinstance(answer, DeniedAnswer) and answer.status in CLIENT_ERRORS:
             self.errors += 1
             last, self.paused = last or self.errors > 1, True
-        self.refused = self.http.their_state is h11.SEND_BODY
+        self.refused = self.parser.is_in_body()
         if exchange.body_stream is not None:
             exchange.body_stream.discard()
         last = last or self.refused or self.acceptor.closing or self.acceptor.draining_since is not None
@@ -361,12 +478,15 @@
 
     def after_answer(self, last: bool) -> None:
         """On to the next request, or to the end of this connection, once the answer has left."""
+        if self.exchange is not None:
+            self.exchange.release()
         self.exchange = None
+        self.update_holding()
         if self.stream.closed:  # the write found it broken: what waits unread behind it has nobody to answer
             self.is_last = True
             return
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not last:
-            self.http.start_next_cycle()
+        if self.parser.is_done() and not last:
+            self.parser.start_next_cycle()
             self.served = True
         else:
             self.is_last = True
@@ -379,13 +499,14 @@
             self.linger()
             return
         self.acceptor.idle[self] = self.acceptor.clock.now
-        if self.http.trailing_data[0]:
+        if self.parser.pending:
             self.acceptor.head_received(self)
             self.read_scope.deadline = trio.current_time() + REQUEST_TIMEOUT_S
             self.advance()
 
     def on_flushed(self) -> None:
         """A client that reads slowly has taken what the socket did not take at once."""
+        self.update_holding()
         if self.stream.closed or self.exchange is not None:
             return
         self.answer_has_left()
@@ -405,14 +526,14 @@
         if last:
             headers.append((b"Connection", b"close"))
         self.unsent_head = (
-            self.http.send_with_data_passthrough(h11.Response(status_code=200, headers=headers)) or []
+            self.parser.http.send_with_data_passthrough(h11.Response(status_code=200, headers=headers)) or []
         )
         self.streaming_answer, self.close_after_answer = True, last
         self.writer.reset_on_failure = answer.length is None
         answer.sink = self
 
     async def write_chunk(self, piece: bytes | bytearray) -> None:
-        parts = self.http.send_with_data_passthrough(h11.Data(piece)) or []  # type: ignore[arg-type]
+        parts = self.parser.http.send_with_data_passthrough(h11.Data(piece)) or []  # type: ignore[arg-type]
         head, self.unsent_head = self.unsent_head, []
         await self.writer.send([*head, *parts])
 
@@ -429,7 +550,7 @@
 
     def write(self, *events: h11.Event) -> None:
         self.writer.write(
-            [part for event in events for part in self.http.send_with_data_passthrough(event) or ()]
+            [part for event in events for part in self.parser.http.send_with_data_passthrough(event) or ()]
         )
 
     def linger(self) -> None:
@@ -465,9 +586,14 @@
         self.advance()
         with contextlib.suppress(OSError):  # it is closed below
             for _ in range(MAX_FINAL_READS):
-                if self.exchange is not None or self.is_last or not (data := self.stream.receive_now()):
+                if self.exchange is not None or self.is_last or self.catching_up is not None:
+                    break
+                if not (data := self.stream.receive_now()):
                     break
                 self.feed(data)
+        if self.catching_up is not None:
+            self.close_once_caught_up = True
+            return
         if self.exchange is None and not self.is_last and not self.stream.closed:
             self.is_last = True
             self.linger()
--- a/gorsefork/wire/http1/connection_writer.py
+++ b/gorsefork/wire/http1/connection_writer.py
@@ -35,6 +35,11 @@
         self.flushed = trio.Event()  # set at the end of the current flush
         self.reset_on_failure = False  # only the connection's end tells the client how long its answer is
 
+    def detach(self) -> None:
+        """Drop what is unsent and the connection's callbacks: nothing more is handed over."""
+        self.unsent = []
+        self.on_flushed = self.on_stalled = lambda: None
+
     def write(self, parts: Sequence[bytes]) -> None:
         """Hand over bytes without waiting. A broken connection is closed, which its reader sees."""
         if self.begin_write(parts):
--- a/gorsefork/wire/http1/exchange.py
+++ b/gorsefork/wire/http1/exchange.py
@@ -49,6 +49,18 @@
     body_stream: BodyStream | None = None  # its body, where that is passed on as it comes
     discarded: int = 0  # bytes of that, so far
 
+    def held_bytes(self) -> int:
+        """The bytes of its body that are held just now."""
+        if self.body_stream is not None:
+            return self.body_stream.buffered_bytes
+        return len(self.body) or (len(self.call.body) if self.call is not None else 0)
+
+    def release(self) -> None:
+        """Drop what it holds, and its ties to the connection, once it is answered or has nobody to answer."""
+        self.reply = lambda answer: None
+        self.on_client_left = lambda: None
+        self.headers, self.body = {}, bytearray()
+
     def text(self, name: bytes) -> str:
         return self.headers.get(name, b"").decode("latin-1")
 
--- a/gorsefork/wire/introspection_client.py
+++ b/gorsefork/wire/introspection_client.py
@@ -11,6 +11,7 @@
 import trio
 
 from gorsefork.memory.clock import SECOND, Clock
+from gorsefork.wire.http1.paced_parser import STEP_DONE, PacedParser
 from gorsefork.wire.stream import Stream, connect
 from gorsefork.wire.tokens import Claims, MalformedAnswer, read_claims
 
@@ -45,7 +46,7 @@
         self.authorization = "Basic " + base64.b64encode(pair).decode("ascii")
         self.clock, self.log = clock, log
         self.checks_in_flight = 0
-        self.idle: deque[tuple[Stream, h11.Connection, int]] = deque()
+        self.idle: deque[tuple[Stream, PacedParser, int]] = deque()
 
     async def check(self, token: str, within: float) -> Claims | None:
         """The claims of an active token, None for any other; ``IntrospectionUnavailable`` if neither is told
@@ -75,38 +76,38 @@
         stream = await connect(self.address, self.timeout)
         if stream is None:
             raise IntrospectionUnavailable("no connection")
-        return await self.exchange(stream, h11.Connection(h11.CLIENT), token, False)
+        return await self.exchange(stream, PacedParser(h11.CLIENT), token, False)
 
-    def take_idle_connection(self) -> tuple[Stream, h11.Connection] | None:
+    def take_idle_connection(self) -> tuple[Stream, PacedParser] | None:
         while self.idle:
-            stream, http, since = self.idle.pop()
+            stream, parser, since = self.idle.pop()
             if since + MAX_IDLE_US > self.clock.now and stream.is_reusable():
-                return stream, http
+                return stream, parser
             stream.close()
         return None
 
-    async def exchange(self, stream: Stream, http: h11.Connection, token: str, kept: bool) -> Claims | None:
+    async def exchange(self, stream: Stream, parser: PacedParser, token: str, kept: bool) -> Claims | None:
         keep = False
         try:
-            status, media, body = await self.post(stream, http, token, kept)
+            status, media, body = await self.post(stream, parser, token, kept)
             if status != 200:
                 self.log(f"introspection: the server answered {status}")
                 raise IntrospectionUnavailable(f"status {status}")
             if media.partition(";")[0].strip().lower() != "application/json":
                 raise MalformedAnswer("not application/json")
             claims = read_claims(body, self.clock.unix(self.clock.now))
-            if http.our_state is h11.DONE and http.their_state is h11.DONE:
-                http.start_next_cycle()
-                keep = not http.trailing_data[0]
+            keep = parser.is_done() and not parser.has_surplus()
+            if keep:
+                parser.start_next_cycle()
             return claims
         finally:
             if keep and len(self.idle) < self.max_checks:
-                self.idle.append((stream, http, self.clock.now))
+                self.idle.append((stream, parser, self.clock.now))
             else:
                 stream.close()
 
     async def post(
-        self, stream: Stream, http: h11.Connection, token: str, kept: bool
+        self, stream: Stream, parser: PacedParser, token: str, kept: bool
     ) -> tuple[int, str, bytes]:
         form = urlencode({"token": token, "token_type_hint": "access_token"}).encode("ascii")
         head = h11.Request(
@@ -123,19 +124,22 @@
         parts = [
             part
             for event in (head, h11.Data(form), h11.EndOfMessage())
-            for part in http.send_with_data_passthrough(event) or ()
+            for part in parser.http.send_with_data_passthrough(event) or ()
         ]
         response: h11.Response | None = None
         body, heard = bytearray(), False
         try:
             await stream.send(parts)
-            while not isinstance(event := http.next_event(), h11.EndOfMessage):
-                if event is h11.NEED_DATA:
+            while not isinstance(event := parser.next_event(), h11.EndOfMessage):
+                if event is STEP_DONE:
+                    await trio.lowlevel.checkpoint()
+                    parser.begin_step()
+                elif event is h11.NEED_DATA:
                     data = await stream.receive()
                     if not data and not heard and kept:
                         raise StaleConnection
                     heard = True
-                    http.receive_data(data)
+                    parser.receive(data)
                 elif isinstance(event, h11.Response):
                     response = event
                 elif isinstance(event, h11.Data):
--- a/gorsefork/wire/stream.py
+++ b/gorsefork/wire/stream.py
@@ -13,13 +13,14 @@
 import sys
 import termios
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
 from gorsefork.wire.stall_watch import StallWatch
 
 READ_SIZE = 65536
+MAX_BUFFERS_PER_WRITE = 1024  # UIO_MAXIOV of linux/uio.h: sendmsg(2) refuses more
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
 STALL_CHECK_INTERVAL_S = 1.0  # s between looks at the progress of a peer that is waited for
 LOCAL_RETRY_PAUSE_S = 0.005  # s until a connection is tried again that failed for a fault of this machine
@@ -69,6 +70,18 @@
             except BlockingIOError:
                 continue
 
+    async def receive_if_ready(self, most: Callable[[], int]) -> bytes | None:
+        """The next bytes, as many as ``most`` allows once they are there; None if that is none by then."""
+        if self.closed:
+            raise trio.ClosedResourceError
+        await trio.lowlevel.wait_readable(self.sock)
+        if not (size := most()):
+            return None
+        try:
+            return self.sock.recv(size)
+        except BlockingIOError:
+            return None
+
     def receive_now(self) -> bytes | None:
         """What lies ready; None if nothing does."""
         try:
@@ -102,7 +115,7 @@
     def write_now(self, buffers: Sequence[bytes | memoryview]) -> list[memoryview]:
         """One gathered write; what the socket did not take. ``OSError`` when the connection is broken."""
         try:
-            sent = self.sock.sendmsg(buffers)
+            sent = self.sock.sendmsg(buffers[:MAX_BUFFERS_PER_WRITE])
         except BlockingIOError:
             sent = 0
         return unsent_buffers(buffers, sent)
@@ -118,7 +131,7 @@
         while left:
             await self.wait_writable(stall_timeout)
             try:
-                sent = self.sock.sendmsg(left)
+                sent = self.sock.sendmsg(left[:MAX_BUFFERS_PER_WRITE])
             except BlockingIOError:
                 continue
             left = unsent_buffers(left, sent)
