--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -165,6 +165,40 @@
     return Write(b"".join(head(customer=each) for each in customers), over_and_over=True, reads=False)
 
 
+def flood_hasty(rng: random.Random) -> Write:
+    """Requests whose time is over at once, each under a customer's name that was never heard."""
+    customers = (f"{rng.randrange(1 << 33):016x}" for _ in range(2000))
+    hasty = (head(customer=each).replace(b"Ms: 3000", b"Ms: 1") for each in customers)
+    return Write(b"".join(hasty), over_and_over=True)
+
+
+def flood_large_units(rng: random.Random) -> Write:
+    """Requests that few can be served, of customers that are each new."""
+    customers = (f"{rng.randrange(1 << 33):016x}" for _ in range(2000))
+    return Write(
+        b"".join(head(customer=each).replace(b"units=1,", b"units=6,") for each in customers),
+        over_and_over=True,
+    )
+
+
+def flood_patient(rng: random.Random) -> Write:
+    """Requests that are soon over, with a day to wait."""
+    request = head(customer=f"{rng.randrange(1 << 33):016x}").replace(b"Ms: 3000", b"Ms: 86400000")
+    return Write(
+        b"".join(request.replace(b"X-Trace-Id: h", b"X-Trace-Id: %d-h" % n) for n in range(2000)),
+        over_and_over=True,
+    )
+
+
+def flood_repeated_id(rng: random.Random) -> Write:
+    return Write(head(trace="same") * 2000, over_and_over=True)
+
+
+def flood_interim(rng: random.Random) -> Write:
+    """Bodies that ask for 100 Continue, of one byte each."""
+    return Write((purchase("Expect: 100-continue", "Content-Length: 1") + b"x") * 1000, over_and_over=True)
+
+
 PATTERNS: dict[str, Pattern] = {
     function.__name__.replace("_", "-"): function
     for function in (
@@ -186,6 +220,11 @@
         flood_garbage,
         flood_names,
         flood_unread,
+        flood_hasty,
+        flood_patient,
+        flood_large_units,
+        flood_repeated_id,
+        flood_interim,
     )
 }
 
--- a/gorsefork/decisions/rules.py
+++ b/gorsefork/decisions/rules.py
@@ -646,10 +646,12 @@
         known, plan = self.accounts.get(message.tag), self.settings.plans[message.plan_index]
         # The owner also decides which plan applies.
         plan = known.plan if known and known.has_plan_override else plan
+        if not self.accounts.has_place_for(message.tag, now):
+            return None
         account = self.get_account(message.tag, 1, self.settings.own_index, plan, now)
         if message.kind == QUOTA_RETURNED:
             account.spend(-message.amount)
-            account.leases.popleft() if account.leases else None
+            account.leases.pop(0) if account.leases else None
         elif message.kind == QUOTA_REQUEST:
             has_room, rate = account.grant_to_peer(event.sender, message, lease, now), account.plan.rate
             self.set_account_timer(account, account.flush_interval)
@@ -962,7 +964,8 @@
     def on_request(self, request: i.Request) -> None:
         if not 0 <= request.class_index < len(self.settings.classes) or request.id in self.pending:
             return
-        if self.suspended:
+        tag = AccountTable.customer_tag(request.customer).hex()
+        if self.suspended or not self.quota.accounts.has_place_for(tag, self.now):
             self.actions.append(i.RejectRequest(request.id, self.settings.limits.retry_after_limit()))
             return
         known = 0 <= request.plan_index < len(self.settings.plans)
--- a/gorsefork/decisions/state.py
+++ b/gorsefork/decisions/state.py
@@ -27,6 +27,9 @@
 # An unused account is kept until its last count has expired, and some seconds longer.
 IDLE_ACCOUNT_SPANS = 2.5
 IDLE_ACCOUNT_S = 5.0
+# Customers with an account at the same time, and how many of them are looked at to make place for one more.
+MAX_ACCOUNTS = 4096
+MAX_ACCOUNTS_CHECKED = 16
 
 
 class Backend:
@@ -306,6 +309,8 @@
 class QuotaWaitQueue:
     """Requests waiting for one customer's quota, by rank, with the sum of the units that they need."""
 
+    __slots__ = ("heap", "serial", "units")
+
     def __init__(self) -> None:
         self.heap: list[tuple[float, int, PendingRequest]] = []
         self.units = 0.0
@@ -372,6 +377,7 @@
 
     def __init__(self, plan: i.Plan, now: float) -> None:
         self.plan = plan
+        self.ingress_count = 1
         self.refilled_at = now
         # pending: units not yet added to the count; seen: total of this count span that was last read
         self.pending = self.seen = 0.0
@@ -391,7 +397,7 @@
         self.exhausted_epoch = -1  # latest count span that was found used up
         self.ceiling = 0.0  # this ingress's part of the ceiling
         self.owner: int | None = None  # the ingress that owns this account, if it is another one
-        self.leases: deque[float] = deque()  # expiry times of peers' open requests that were granted
+        self.leases: list[float] = []  # expiry times of peers' open requests that were granted
         self.grants = GrantCache()  # replies to recent messages from peers
         self.handed_over = False  # the successor has the quota, so it no longer refills in this process
         self.has_plan_override = False  # the plan comes from a plan override, not from a request
@@ -422,9 +428,17 @@
     def concurrent_requests(self, now: float) -> int:
         """Return the open requests of this process and of the peers that hold an unexpired lease."""
         while self.leases and self.leases[0] <= now:
-            self.leases.popleft()
+            self.leases.pop(0)
         return self.open_requests + len(self.leases)
 
+    def is_replaceable(self) -> bool:
+        """Return whether an account that is made anew admits no more than this one under the ceiling.
+
+        What was spent of the quota the counter tells again.
+        """
+        whole_ceiling = self.plan.ceiling_burst / max(1, self.ingress_count)
+        return not self.in_use() and (self.plan.ceiling_rate <= 0 or self.ceiling >= whole_ceiling)
+
 
 class CallQueue:
     """Accounts that wait for a counter call: lowest rank first, newest first among equals.
@@ -482,5 +496,23 @@
             if account.in_use():
                 self.move_to_end(tag)
             else:
-                account.call_rank = math.inf  # makes its call queue entries stale
-                del self[tag]
+                self.remove(tag)
+
+    def remove(self, tag: str) -> None:
+        self[tag].call_rank = math.inf  # makes its call queue entries stale
+        del self[tag]
+
+    def has_place_for(self, tag: str, now: float) -> bool:
+        """Return whether the customer has an account or may get one; others that rest give way.
+
+        Guards against requests under ever new names: their accounts took memory without a bound.
+        """
+        if tag in self or len(self) < MAX_ACCOUNTS:
+            return True
+        for other, account in list(islice(self.items(), MAX_ACCOUNTS_CHECKED)):
+            account.refill(now)
+            if account.is_replaceable():
+                self.remove(other)
+                return True
+            self.move_to_end(other)
+        return False
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -14,7 +14,7 @@
 
 from gorsefork.decisions import DecisionEngine
 from gorsefork.decisions import interface as i
-from gorsefork.decisions.state import QuotaMessage
+from gorsefork.decisions.state import MAX_ACCOUNTS, AccountTable, QuotaMessage
 
 DriverFactory = Callable[..., Driver]
 SMALL_PLAN = i.Plan("small", rate=1.0, burst=4.0, over_cost=0.8)
@@ -440,3 +440,34 @@
         messages = [QuotaMessage.decode(message.data, 1) for message in driver.actions_of(i.SendToPeer)]
         assert not serials & {message.serial for message in messages if message}
         serials |= {message.serial for message in messages if message}
+
+
+class TestAccounts:
+    """Requests under ever new names."""
+
+    def test_their_accounts_are_bounded_and_a_customer_at_its_ceiling_keeps_its_own(
+        self, make_driver: Callable[..., Any]
+    ) -> None:
+        """Guards against memory that grows with each name (issue 54 b), and a ceiling that begins anew."""
+        capped = i.Plan("capped", rate=2.0, burst=8.0, ceiling_rate=1.0, ceiling_burst=4.0)
+        driver = make_driver(plans=[i.Plan("open"), capped])
+        driver.run(10.0)
+        driver.send_request(customer="drawn", plan_index=1, units=4.0)
+        drawn = driver.engine.quota.accounts[AccountTable.customer_tag("drawn").hex()]
+        for number in range(MAX_ACCOUNTS + 100):
+            request = driver.request(customer=f"new-{number}")
+            driver.feed(request)
+            driver.feed(i.ClientGone(request.id))
+        accounts = driver.engine.quota.accounts
+        assert len(accounts) <= MAX_ACCOUNTS
+        assert accounts[AccountTable.customer_tag("drawn").hex()] is drawn
+
+    def test_a_new_name_is_refused_where_no_account_may_give_way(
+        self, make_driver: Callable[..., Any]
+    ) -> None:
+        driver = make_driver(backends=0)
+        for number in range(MAX_ACCOUNTS):
+            driver.send_request(customer=f"waits-{number}")
+        (refused,) = driver.send_request(customer="one more")
+        assert isinstance(refused, i.RejectRequest)
+        assert not any(isinstance(each, i.RejectRequest) for each in driver.send_request(customer="waits-0"))
