--- a/gorsefork/life/handover.py
+++ b/gorsefork/life/handover.py
@@ -183,6 +183,8 @@
 
     async def receive_from_predecessor(self, link: HandoverConnection) -> None:
         def heed(message: HandoverMessage) -> None:
+            if "ids" in message:
+                self.import_ids(message["ids"])
             if "yours" in message and not self.serving.is_set():
                 self.import_state(message["yours"])
                 self.serving.set()
@@ -194,6 +196,11 @@
             self.log_note("the one before is gone and left nothing; this one goes on by what it has")
         self.serving.set()
 
+    def import_ids(self, given: Any) -> None:
+        """The ids of requests that may have run, or may yet, at the process before: they do not run here."""
+        if isinstance(given, list) and all(isinstance(each, str) for each in given):
+            self.ingress.decision_actor.spent_ids.add_all(given, self.ingress.clock.now)
+
     def import_state(self, given: Any) -> None:
         try:
             import_state(
@@ -270,7 +277,12 @@
         if self.successor is None or self.handed_over:
             return self.handed_over
         self.handed_over = True
-        self.successor.queue_message({"yours": export_state(self.ingress.decision_actor.engine)})
+        self.successor.queue_message(
+            {
+                "yours": export_state(self.ingress.decision_actor.engine),
+                "ids": self.ingress.decision_actor.ids_not_to_repeat(),
+            }
+        )
         self.log_note("handed over")
         return True
 
--- a/gorsefork/memory/decision_actor.py
+++ b/gorsefork/memory/decision_actor.py
@@ -26,6 +26,7 @@
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.metrics import Metrics
 from gorsefork.memory.ports import Backends, Counter, Discovery, Peers, PlanOverrides, UsageRecorder
+from gorsefork.memory.recent_ids import RecentIds
 from gorsefork.memory.registry import RegistryUpdate
 from gorsefork.memory.timers import Timers
 
@@ -52,6 +53,7 @@
         self.mailbox: Mailbox[i.Event] = Mailbox(MAX_EVENTS)
         self.calls: dict[str, Call] = {}
         self.calls_by_trace: dict[str, Call] = {}  # by the clients' trace ids
+        self.spent_ids = RecentIds()
         self.timers = Timers(self.calls)
         self.metrics = Metrics([cls.name for cls in settings.classes])
         self.backends: Backends
@@ -90,11 +92,11 @@
         """Take responsibility for a call, which from here on gets exactly one final answer.
 
         A call with the trace id of another open call is refused, since a backend could not tell the two
-        apart.
+        apart; so is one whose id may have run, in a class that is unsafe to repeat.
         """
         call.metrics = self.metrics
         self.metrics.accepted[call.class_index] += 1
-        if call.trace_id in self.calls_by_trace and not self.calls_by_trace[call.trace_id].finished:
+        if self.is_repeated_id(call):
             call.finish(DeniedAnswer(409))
             return
         self.calls_by_trace[call.trace_id] = call
@@ -122,6 +124,29 @@
             )
         )
 
+    def is_repeated_id(self, call: Call) -> bool:
+        """Return whether the id of a call is in use, or may not be used again.
+
+        Guards against a client that leaves and comes again with the same request: the first one may run yet.
+        """
+        earlier = self.calls_by_trace.get(call.trace_id)
+        if earlier is not None and not earlier.finished:
+            return True
+        if not self.is_unsafe(call):
+            return False
+        if earlier is not None and (earlier.open_attempts() or earlier.may_have_run()):
+            return True
+        return self.spent_ids.holds(call.trace_id, self.clock.now)
+
+    def is_unsafe(self, call: Call) -> bool:
+        """Return whether the call's class is unsafe to repeat."""
+        return self.settings.classes[call.class_index].effect != "repeatable"
+
+    def ids_not_to_repeat(self) -> list[str]:
+        """Return the ids of unsafe requests that may have run or may yet run, oldest first."""
+        open_ids = [call.trace_id for call in self.calls.values() if self.is_unsafe(call)]
+        return [*self.spent_ids.expiry, *open_ids]
+
     def avoided_backends(self) -> int:
         """Count the listed backends that currently receive no attempts.
 
@@ -307,6 +332,8 @@
             return
         if self.calls_by_trace.get(call.trace_id) is call:
             del self.calls_by_trace[call.trace_id]
+        if self.is_unsafe(call) and call.may_have_run():
+            self.spent_ids.add(call.trace_id, self.clock.now)
         call.release()
 
     def fail_unrecorded_call(self, name: str) -> None:
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -10,7 +10,7 @@
 import trio
 
 from gorsefork.memory.body_stream import MAX_BUFFERED_BYTES, BodyAborted, BodyStream
-from gorsefork.memory.call import AnswerSink, AttemptResult, BackendAttempt, StreamedAnswer
+from gorsefork.memory.call import AnswerSink, AttemptResult, BackendAttempt, Call, StreamedAnswer
 from gorsefork.memory.clock import SECOND, Clock, monotonic_us
 from gorsefork.memory.mailbox import Mailbox
 from gorsefork.memory.registry import RegisteredBackend, Registry
@@ -57,7 +57,7 @@
         try:
             await self.send(request, *body, *end)
             if call.body_stream is not None:
-                await self.upload(call.body_stream)
+                await self.upload(call.body_stream, call)
         except BodyAborted:  # the client's doing: it says nothing of this backend
             return AttemptResult("moot")
         except PeerStalled:
@@ -83,7 +83,7 @@
             UPLOAD_STALL_TIMEOUT_S,
         )
 
-    async def upload(self, flow: BodyStream) -> None:
+    async def upload(self, flow: BodyStream, call: Call) -> None:
         """A body as it comes: a little of it is held at a time. Raises ``BodyAborted`` if it is not to be
         completed, or another attempt reads it; the request then has no end, so that the backend does not run
         it."""
@@ -91,6 +91,8 @@
             raise BodyAborted
         while pieces := await flow.read_available():
             await self.send(h11.Data(b"".join(pieces)))
+        if call.client_has_left():  # its request is not to run: this is the last moment to see to that
+            raise BodyAborted
         await self.send(h11.EndOfMessage())
 
     async def read_answer(self) -> AttemptResult | tuple[h11.Response, list[bytearray]]:
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -109,7 +109,7 @@
         self.writer = ConnectionWriter(stream, acceptor.start, self.on_flushed, self.on_stalled)
         self.advancing = False
         self.catching_up: trio.Event | None = None  # set once what was read so far has been acted on
-        self.close_once_caught_up = False
+        self.advance_once_more = self.close_once_caught_up = False
         self.read_scope = trio.CancelScope()
         self.is_last = False  # nothing more is read from this client
         self.served = False  # it has had an answer
@@ -306,7 +306,10 @@
         An answer given within only ends its round of this loop: many requests in one go would otherwise stack
         up and end the program.
         """
-        if self.advancing or self.catching_up is not None:
+        if self.catching_up is not None:
+            self.advance_once_more = True  # it may have acted on all there was, and wait for its turn to end
+            return
+        if self.advancing:
             return
         if self.parser.has_long_input() or not self.take_step():
             self.catching_up = trio.Event()
@@ -324,11 +327,13 @@
 
     async def catch_up(self) -> None:
         """Go on with what one step was too short for."""
-        caught_up = False
+        self.advance_once_more = True
         try:
-            while not caught_up and not self.stream.closed:
+            while self.advance_once_more and not self.stream.closed:
                 async with self.acceptor.turns.step():
-                    caught_up = self.take_step()
+                    self.advance_once_more = False
+                    if not self.take_step():
+                        self.advance_once_more = True
         finally:
             event, self.catching_up = self.catching_up, None
             if event is not None:
@@ -383,7 +388,7 @@
 
     def end_request(self, exchange: Exchange) -> None:
         """Its last byte has come."""
-        if exchange.body_stream is None and self.close_if_client_left():
+        if self.close_if_client_left():
             return
         self.read_scope.deadline = math.inf  # silence no longer ends it: a call may be in hand
         if exchange.body_stream is None:
@@ -401,11 +406,12 @@
         return self.exchange is None and self.flushing
 
     def close_if_client_left(self) -> bool:
-        """Whether the client of a request that is about to begin has left; so this connection ends. Guards
-        against one that sent much and went: its requests would go on to servers before its end is read."""
-        if self.stream.peer_has_closed():
-            self.is_last, self.exchange = True, None
-            self.stream.close()
+        """Whether the client of a request that is about to begin, or to be passed on whole, has left; so this
+        connection ends. Guards against one that sent much and went: its requests would go on to servers
+        before its end is read."""
+        if not self.stream.closed and self.stream.peer_has_closed():
+            self.is_last = True
+            self.finish()
         return self.stream.closed
 
     def add_body(self, exchange: Exchange, piece: bytes) -> None:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -256,7 +256,7 @@
             box send 503
             box expect POST /buy
             c1 expect 502
-            c2 send POST /buy {KEY} X-Expires-In-Ms=200
+            c2 send POST /buy {KEY} X-Expires-In-Ms=200 X-Trace-Id=two
             box expect POST /buy
             box send 503 X-Never-Ran=1
             box expect POST /buy
