--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -338,11 +338,14 @@
         running.process.kill()
         await running.process.wait()
 
-    def close(self) -> None:
+    def kill_all(self) -> None:
         for running in self.all:
             if running.process.returncode is None:
                 running.send(signal.SIGCONT)
                 running.process.kill()
+
+    def close_sockets(self) -> None:
+        """Once no task of the switch runs: one that was woken would wait on a socket that is closed."""
         for sock in self.doors.values():
             sock.close()
 
@@ -352,10 +355,15 @@
 
 @asynccontextmanager
 async def rigged(folder: Path, seed: int = 1, pace: str = FAST) -> AsyncIterator[Rig]:
-    async with trio.open_nursery() as nursery:
-        rig = Rig(folder, nursery, seed, pace)
-        try:
-            yield rig
-        finally:
-            rig.close()
-            nursery.cancel_scope.cancel()
+    rig: Rig | None = None
+    try:
+        async with trio.open_nursery() as nursery:
+            rig = Rig(folder, nursery, seed, pace)
+            try:
+                yield rig
+            finally:
+                rig.kill_all()
+                nursery.cancel_scope.cancel()
+    finally:
+        if rig is not None:
+            rig.close_sockets()
