--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from gorsefork.memory.metrics import BreakReason, EndKind, Metrics
+    from gorsefork.memory.process_identity import ConnectionIdentity
 
 NEVER_RAN: frozenset[Status] = frozenset(("full", "connect_failed", "moot"))
 
@@ -126,6 +127,7 @@
     answer_accepted: bool = False
     # The body, if it is forwarded while it arrives; ``body`` is then empty.
     body_stream: BodyStream | None = None
+    bound_to_place: bool = False  # its repeats are dropped within one zone or cell only
     answer_time: int = 0  # us, from the body's last byte to the deadline of the answer
     attempts: list[BackendAttempt] = field(default_factory=list)
     metrics: Metrics | None = None  # counts how the call ends
@@ -210,6 +212,7 @@
     cancelled: bool = False
     on_cancel: Callable[[], None] | None = None  # set by the transport that carries it out
     on_deadline_change: Callable[[], None] | None = None  # likewise, for a changed ``deadline``
+    connection: ConnectionIdentity | None = None  # on which it was sent
     # Called when its answer is streamed, which the deadline must not cut off.
     clear_deadline: Callable[[], None] = lambda: None
 
--- a/gorsefork/memory/decision_actor.py
+++ b/gorsefork/memory/decision_actor.py
@@ -100,6 +100,8 @@
             call.finish(DeniedAnswer(409))
             return
         self.calls_by_trace[call.trace_id] = call
+        cls = self.settings.classes[call.class_index]
+        call.bound_to_place = cls.effect == "by_key" and cls.scope != "all"
         time_left = (call.deadline - self.clock.now) / SECOND
         self.calls[call.id] = call
         plan_override = (
--- a/gorsefork/memory/metrics.py
+++ b/gorsefork/memory/metrics.py
@@ -8,8 +8,8 @@
 EndKind = Literal["fulfilled", "throttled", "faulted", "gone"]
 # Why a connection was ended in the middle of a request or an answer:
 # the client took nothing more of its answer; the backend sent, or took, nothing more; the body was broken off
-# before a backend had all of it
-BreakReason = Literal["stalled_client", "stalled_backend", "incomplete_body"]
+# before a backend had all of it; a repeat was not sent, as it is not known which process listens there
+BreakReason = Literal["stalled_client", "stalled_backend", "incomplete_body", "unknown_process"]
 METRIC_PREFIX = "edge_proxy"
 
 
@@ -30,6 +30,7 @@
             "stalled_client": 0,
             "stalled_backend": 0,
             "incomplete_body": 0,
+            "unknown_process": 0,
         }
 
     def count_break(self, reason: BreakReason) -> None:
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -13,6 +13,7 @@
 from gorsefork.memory.call import AnswerSink, AttemptResult, BackendAttempt, Call, StreamedAnswer
 from gorsefork.memory.clock import SECOND, Clock, monotonic_us
 from gorsefork.memory.mailbox import Mailbox
+from gorsefork.memory.process_identity import ConnectionIdentity, ListedProcess, may_run_at
 from gorsefork.memory.registry import RegisteredBackend, Registry
 from gorsefork.memory.work_turns import WorkTurns
 from gorsefork.wire.http1.paced_parser import STEP_DONE, PacedParser
@@ -34,9 +35,9 @@
 class BackendConnection:
     """One connection to a backend; it carries one delegation at a time."""
 
-    def __init__(self, stream: Stream, life: int, pool: BackendPool) -> None:
+    def __init__(self, stream: Stream, identity: ConnectionIdentity, pool: BackendPool) -> None:
         self.stream, self.parser, self.pool = stream, PacedParser(h11.CLIENT), pool
-        self.reusable, self.idle_since, self.generation = True, 0, life
+        self.reusable, self.idle_since, self.identity = True, 0, identity
 
     async def run_attempt(self, delegation: BackendAttempt, authority: str, left_ms: int) -> AttemptResult:
         """A break before the last byte is written never ran; after it, it may have."""
@@ -75,6 +76,7 @@
             return AttemptResult("reset")
         except (OSError, h11.RemoteProtocolError):
             return AttemptResult("reset")
+        self.identity.heard(self.pool.clock.now)
         return found if isinstance(found, AttemptResult) else await self.stream_answer(delegation, *found)
 
     async def send(self, *events: h11.Event) -> None:
@@ -233,12 +235,12 @@
         self.mailbox: Mailbox[BackendAttempt | None] = Mailbox(MAX_WAITING_ATTEMPTS)
         self.idle: deque[BackendConnection] = deque()
         self.retired = False
-        # of the process there, or its address: a connection serves the one it was made for
-        self.generation = 0
+        self.process = ListedProcess()  # a connection serves the one that it was made for
 
     def update(self, host: RegisteredBackend) -> None:
         if (self.backend.address, self.backend.started_at) != (host.address, host.started_at):
-            self.generation += 1
+            self.process.replaced(self.pool.clock.now)
+            self.process = ListedProcess()
             self.mailbox.put(None)
         elif host.state != "ready":  # it wants nothing new: what stands idle to it is of no use
             self.mailbox.put(None)
@@ -305,7 +307,7 @@
             return AttemptResult("moot")
         if link is None:
             return AttemptResult("connect_failed")
-        if link.generation != self.generation:  # the process there is another by now
+        if link.identity.listed is not self.process:  # the process there is another by now
             self.close_connection(link)
             return AttemptResult("moot")
         call = delegation.call
@@ -320,6 +322,10 @@
             over = over or now >= delegation.start_before
             if over or not self.pool.registry.accepts_attempts(self.backend.name):
                 return AttemptResult("moot")
+            if not may_run_at(delegation, link.identity, now):
+                call.count_break("unknown_process")
+                return AttemptResult("moot")
+            delegation.connection = link.identity
             left = call.answer_time if call.body_stream is not None else delegation.deadline - now
             left_ms = max(1, left // 1000)
             return await link.run_attempt(delegation, self.backend.address, left_ms)
@@ -327,7 +333,7 @@
             if (
                 link.reusable
                 and not self.retired
-                and link.generation == self.generation
+                and link.identity.listed is self.process
                 and self.backend.state == "ready"
             ):
                 link.idle_since = self.pool.clock.now
@@ -352,14 +358,14 @@
         can't."""
         await self.pool.wait_for_free_connection()
         self.pool.open_connections += 1
-        stream, life = None, self.generation
+        stream, process = None, self.process
         try:
             stream = await open_connection(self.backend.address, self.pool.connect_timeout)
         finally:
             self.pool.open_connections -= stream is None
         if stream is None:
             return None
-        return BackendConnection(stream, life, self.pool)
+        return BackendConnection(stream, ConnectionIdentity(process, self.pool.clock.now), self.pool)
 
 
 class BackendPool:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -29,6 +29,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
 from typing import Any
+from unittest import mock
 
 import trio
 
@@ -391,8 +392,13 @@
     apart: bool = False,
     settings: Mapping[str, Any] = SETTINGS,
     sockets: int = 1024,
+    discovery_lag_us: int = 0,
 ) -> None:
-    """Play a script; what still runs at its end is cancelled."""
+    """Play a script; what still runs at its end is cancelled.
+
+    ``discovery_lag_us``: how long discovery may take to tell of another process at a backend's address; with
+    0 the backends have been known for long.
+    """
 
     async def main() -> None:
         world = World(ingresses, keepalive, operator, apart, settings, sockets)
@@ -420,4 +426,5 @@
             if ingress.installation is not None:
                 ingress.installation.close()
 
-    trio.run(main)
+    with mock.patch("gorsefork.memory.process_identity.DISCOVERY_LAG_US", discovery_lag_us):
+        trio.run(main)
