--- a/gorsefork/memory/call.py
+++ b/gorsefork/memory/call.py
@@ -216,6 +216,25 @@
     # Called when its answer is streamed, which the deadline must not cut off.
     clear_deadline: Callable[[], None] = lambda: None
 
+    def may_be_sent_on(self, connection: ConnectionIdentity, now: int) -> bool:
+        """Return whether it may be sent on a connection, by where earlier attempts of its call may have run.
+
+        Repeats of a keyed call are dropped only within one place: each attempt must be known to reach the
+        process that its place was chosen for, or all must reach the same process.
+        """
+        if not self.call.bound_to_place:
+            return True
+        earlier = [
+            other.connection
+            for other in self.call.attempts
+            if other is not self and other.connection is not None and (not other.ended or other.may_have_run)
+        ]
+        return all(
+            other is connection
+            or (other.reaches_listed_process(now) and connection.reaches_listed_process(now))
+            for other in earlier
+        )
+
     def mark_sent(self) -> None:
         """Record that its last byte has been sent."""
         self.fully_sent = True
--- a/gorsefork/memory/process_identity.py
+++ b/gorsefork/memory/process_identity.py
@@ -8,13 +8,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from gorsefork.memory.clock import SECOND
 
-if TYPE_CHECKING:
-    from gorsefork.memory.call import BackendAttempt
-
 # us in which discovery tells what it has to tell, at the latest (docs/clocks.md)
 DISCOVERY_LAG_US = 6 * SECOND
 
@@ -48,22 +43,3 @@
         """An answer has come on it."""
         if self.listed.replaced_at is None and self.reaches_listed_process(now):
             self.listed.known_at = now
-
-
-def may_run_at(attempt: BackendAttempt, identity: ConnectionIdentity, now: int) -> bool:
-    """Whether an attempt may be sent on a connection, by where earlier ones of its call may have run.
-
-    Repeats of a keyed call are dropped only within one place: each attempt must be known to reach the process
-    that its place was chosen for, or all must reach the same process.
-    """
-    if not attempt.call.bound_to_place:
-        return True
-    earlier = [
-        other.connection
-        for other in attempt.call.attempts
-        if other is not attempt and other.connection is not None and (not other.ended or other.may_have_run)
-    ]
-    return all(
-        other is identity or (other.reaches_listed_process(now) and identity.reaches_listed_process(now))
-        for other in earlier
-    )
--- a/gorsefork/wire/backends.py
+++ b/gorsefork/wire/backends.py
@@ -13,7 +13,7 @@
 from gorsefork.memory.call import AnswerSink, AttemptResult, BackendAttempt, Call, StreamedAnswer
 from gorsefork.memory.clock import SECOND, Clock, monotonic_us
 from gorsefork.memory.mailbox import Mailbox
-from gorsefork.memory.process_identity import ConnectionIdentity, ListedProcess, may_run_at
+from gorsefork.memory.process_identity import ConnectionIdentity, ListedProcess
 from gorsefork.memory.registry import RegisteredBackend, Registry
 from gorsefork.memory.work_turns import WorkTurns
 from gorsefork.wire.http1.paced_parser import STEP_DONE, PacedParser
@@ -322,7 +322,7 @@
             over = over or now >= delegation.start_before
             if over or not self.pool.registry.accepts_attempts(self.backend.name):
                 return AttemptResult("moot")
-            if not may_run_at(delegation, link.identity, now):
+            if not delegation.may_be_sent_on(link.identity, now):
                 call.count_break("unknown_process")
                 return AttemptResult("moot")
             delegation.connection = link.identity
