--- a/gorsefork/memory/process_identity.py
+++ b/gorsefork/memory/process_identity.py
@@ -10,7 +10,7 @@
 
 from gorsefork.memory.clock import SECOND
 
-# us in which discovery tells what it has to tell, at the latest (docs/clocks.md)
+# us in which discovery tells what it has to tell, at the latest, by the platform's protocol
 DISCOVERY_LAG_US = 6 * SECOND
 
 
--- a/gorsefork/wire/http1/connection.py
+++ b/gorsefork/wire/http1/connection.py
@@ -16,7 +16,7 @@
 from gorsefork.memory.body_stream import MAX_BUFFERED_BYTES, BodyStream
 from gorsefork.memory.call import Answer, DeniedAnswer, OverloadAnswer, StreamedAnswer
 from gorsefork.memory.clock import Clock
-from gorsefork.memory.memory_account import MemoryAccount
+from gorsefork.memory.memory_account import GUARANTEED_BYTES, MemoryAccount
 from gorsefork.memory.metrics import BreakReason
 from gorsefork.memory.work_turns import WorkTurns
 from gorsefork.wire.http1.connection_writer import CLIENT_STALL_TIMEOUT_S, ConnectionWriter
@@ -164,11 +164,16 @@
         if self.is_last:
             return READ_SIZE  # it is dropped
         most = READ_SIZE if self.parser.is_in_body() else MAX_HEAD_BYTES
+        if not self.parser.expects_data():  # behind a call in hand, where ``MAX_AHEAD_BYTES`` is the bound
+            return GUARANTEED_BYTES
         return min(most, self.holding.room())
 
     async def wait_for_room(self) -> None:
-        """Wait until the memory account lets this client send more; it is not to blame for that wait."""
-        if self.is_last or self.holding.may_grow():
+        """Wait until the memory account lets this client send more; it is not to blame for that wait.
+
+        One whose call is in hand is read on: its end is to be seen at once.
+        """
+        if self.is_last or not self.parser.expects_data() or self.holding.may_grow():
             return
         deadline, self.read_scope.deadline = self.read_scope.deadline, math.inf
         with trio.move_on_after(MAX_ROOM_WAIT_S) as scope:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -13,6 +13,7 @@
 from scenario import DEFAULTS, SETTINGS, Wire, World, scenario
 from test_crossings import until
 
+from gorsefork.memory.memory_account import GUARANTEED_BYTES
 from gorsefork.memory.recent_ids import ID_LIFETIME_US, MAX_IDS, RecentIds
 
 LONG_BODY, LAST_PART = 100_000, 10_000  # bytes of a body that is passed on as it comes; what comes last
@@ -70,6 +71,29 @@
     scenario("", then=then)
 
 
+@pytest.mark.parametrize("ahead", [b"", b"x" * 100_000], ids=["nothing ahead", "much ahead"])
+def test_a_client_that_leaves_while_memory_is_short_ends_its_call(ahead: bytes) -> None:
+    """Guards against a call that goes on for nobody, as its client is not read on for want of memory."""
+
+    async def then(world: World) -> None:
+        ingress = world.ingresses[0]
+        ingress.acceptors[0].memory.limit = 0  # each may hold what is guaranteed, and no more
+        client = socket.create_connection(("127.0.0.1", ingress.acceptors[0].port))
+        client.sendall(purchase("/buy", bytes(GUARANTEED_BYTES), "left"))
+        await world.play("box expect POST /buy")
+        (call,) = ingress.decision_actor.calls.values()
+        client.setblocking(False)
+        with suppress(BlockingIOError):
+            client.send(ahead)
+        client.close()
+        with trio.fail_after(1.0):
+            while not call.finished:
+                await trio.sleep(0)
+        assert ingress.decision_actor.metrics.ended["gone"][call.class_index] == 1
+
+    scenario("", then=then)
+
+
 @pytest.mark.parametrize("path", ["/pay", "/buy"])
 def test_an_id_that_comes_again_after_its_client_left_does_not_run_twice(path: str) -> None:
     """Guards against a second run of a request that is unsafe to repeat (issue 54 c)."""
